--- /dev/null
+++ b/request.go
@@ -0,0 +1,111 @@
+package amaranthtide
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Request is a caller's request on its way to a backend server. It is immutable
+// once it has left the entry, but for Attempt.
+type Request struct {
+	ID        RequestID
+	Attempt   AttemptID
+	Workspace WorkspaceName
+	Chat      ChatID
+	// Model is set for chat completions, Route for plain services.
+	Model ModelName
+	Route RouteName
+	Class Class
+	// Weight is the weight of the workspace in the fair queue.
+	Weight int
+	// Key is empty for a repeatable request.
+	Key IdempotencyKey
+	// Cost estimates the work in tokens; at least 1.
+	Cost int
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Stream tells whether a chat completion is streamed.
+	Stream bool
+	// Method, Path and Query are the HTTP request line towards a plain service.
+	Method string
+	Path   string
+	Query  string
+	Header []HeaderField
+	Body   []byte
+}
+
+// Repeatable reports whether the request may run more than once.
+func (r *Request) Repeatable() bool { return r.Key == "" }
+
+// HeaderField is one field of an HTTP header.
+type HeaderField struct {
+	Name  string
+	Value string
+}
+
+// AnswerHead begins an answer.
+type AnswerHead struct {
+	Attempt AttemptID
+	Server  BackendServerName
+	Status  int
+	Header  []HeaderField
+}
+
+// AnswerWriter receives one answer: one Head, then any number of Chunks. The
+// answer is whole only when the function that was given the writer returns nil.
+// Implementations may block to slow the sender down and must not keep chunks.
+type AnswerWriter interface {
+	// Head begins the answer. An error means that the caller is gone.
+	Head(h AnswerHead) error
+	// Chunk appends to the answer's body.
+	Chunk(b []byte) error
+}
+
+// ServerLoad is the load of one backend server as its owner reports it.
+type ServerLoad struct {
+	Server BackendServerName
+	Boot   BootID
+	// InFlight counts the requests admitted and not finished.
+	InFlight int
+	// Allowance is the ramp's present limit.
+	Allowance int
+	// CompletionsPerSecond is a running mean of the completion rate.
+	CompletionsPerSecond float64
+}
+
+// Report is what a router tells the other routers of its zone about itself.
+type Report struct {
+	VM          VMName
+	Zone        ZoneName
+	Address     netip.AddrPort
+	Incarnation Incarnation
+	Sequence    uint64
+	Revision    Revision
+	View        ViewHash
+	// Leaving marks a router that is shutting down.
+	Leaving bool
+	// Interval is the longest time until the next report.
+	Interval time.Duration
+	Loads    []ServerLoad
+}
+
+// Digest is what one zone tells another about itself.
+type Digest struct {
+	Zone     ZoneName
+	From     VMName
+	Sequence uint64
+	Revision Revision
+	Live     []VMName
+	Loads    []ServerLoad
+}
+
+// EngineReport is a model engine's own report of its load. It may lag.
+type EngineReport struct {
+	Boot     BootID
+	InFlight int
+	Capacity int
+	// Uptime is the time since the engine's boot.
+	Uptime time.Duration
+	// Leaving marks an engine that wants no new work.
+	Leaving bool
+}
--- /dev/null
+++ b/state/shard/map.go
@@ -0,0 +1,134 @@
+// Package shard holds state that many goroutines share, split into shards so
+// that work on different keys rarely meets on one lock.
+//
+// # Usage
+//
+//	gates := shard.New[amaranthtide.BackendServerName, *admission.Gate]()
+//	gates.Set("engine-1", admission.New(cfg))
+//	gates.With("engine-1", func(g *admission.Gate, ok bool) {
+//		// Runs under the lock of the shard of "engine-1".
+//	})
+//
+// A function passed to a method runs under a shard's lock. It must be short, must
+// not block and must not call the same Map again.
+package shard
+
+import (
+	"hash/maphash"
+	"sync"
+)
+
+// Count is the number of shards of a Map. It exceeds the cores of the small VMs
+// that routers run on, so that threads rarely wait for each other.
+const Count = 16
+
+// Map is a map in shards, each under its own mutex. It is concurrent-safe. Use New.
+type Map[K comparable, V any] struct {
+	seed   maphash.Seed
+	shards [Count]part[K, V]
+}
+
+type part[K comparable, V any] struct {
+	mu     sync.Mutex
+	values map[K]V
+	// Keeps the locks of neighboring shards on different cache lines.
+	_ [48]byte
+}
+
+// New returns an empty Map.
+func New[K comparable, V any]() *Map[K, V] {
+	m := &Map[K, V]{seed: maphash.MakeSeed()}
+	for i := range m.shards {
+		m.shards[i].values = make(map[K]V)
+	}
+	return m
+}
+
+func (m *Map[K, V]) part(key K) *part[K, V] {
+	return &m.shards[maphash.Comparable(m.seed, key)%Count]
+}
+
+// Get returns the value of key and whether there is one.
+func (m *Map[K, V]) Get(key K) (V, bool) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.values[key]
+	return v, ok
+}
+
+// Set stores the value of key.
+func (m *Map[K, V]) Set(key K, v V) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[key] = v
+}
+
+// Delete removes key and reports whether it was present.
+func (m *Map[K, V]) Delete(key K) bool {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.values[key]
+	delete(p.values, key)
+	return ok
+}
+
+// With calls f with the value of key, or with the zero value and false, under
+// the lock of the key's shard.
+func (m *Map[K, V]) With(key K, f func(v V, ok bool)) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.values[key]
+	f(v, ok)
+}
+
+// Update replaces the value of key by the result of f, under the lock of the
+// key's shard. It removes the key if f returns false.
+func (m *Map[K, V]) Update(key K, f func(v V, ok bool) (V, bool)) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.values[key]
+	v, keep := f(v, ok)
+	if keep {
+		p.values[key] = v
+		return
+	}
+	delete(p.values, key)
+}
+
+// Range calls f for each key until f returns false, one shard at a time under its
+// lock. Keys that are set or deleted meanwhile may or may not be seen.
+func (m *Map[K, V]) Range(f func(key K, v V) bool) {
+	for i := range m.shards {
+		if !m.shards[i].each(f) {
+			return
+		}
+	}
+}
+
+func (p *part[K, V]) each(f func(key K, v V) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, v := range p.values {
+		if !f(k, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// Len returns the number of keys.
+func (m *Map[K, V]) Len() int {
+	n := 0
+	for i := range m.shards {
+		p := &m.shards[i]
+		p.mu.Lock()
+		n += len(p.values)
+		p.mu.Unlock()
+	}
+	return n
+}
