--- a/backend.go
+++ b/backend.go
@@ -69,3 +69,20 @@
 	// may reorder and return the given slice.
 	Order(now time.Time, chat ChatID, candidates []Candidate) []Candidate
 }
+
+// Service serves requests with the whole fleet.
+type Service interface {
+	// Serve picks a backend server for the request, serves it and streams the answer
+	// to w. It returns nil only if the answer is whole.
+	Serve(ctx context.Context, req *Request, w AnswerWriter) error
+}
+
+// Directory answers questions about the configuration table in force. It is
+// concurrent-safe.
+type Directory interface {
+	Workspace(name WorkspaceName) (Workspace, bool)
+	Model(name ModelName) (Model, bool)
+	Route(name RouteName) (Route, bool)
+	// Models returns the names of all models in rising order.
+	Models() []ModelName
+}
--- /dev/null
+++ b/transport/metrics/meter.go
@@ -0,0 +1,144 @@
+// Package metrics counts what a router does, by OpenTelemetry, and serves the
+// counts in the Prometheus text format.
+//
+// # Usage
+//
+//	m, err := metrics.New()
+//	if err != nil {
+//		return err
+//	}
+//	defer m.Close(ctx)
+//	m.Request(req, took, err)
+//	http.Handle("/metrics", m.Handler())
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"amaranthtide"
+)
+
+// latencyBounds are the bucket bounds of durations, in seconds. They straddle the
+// target of 1.3 s for the first token.
+var latencyBounds = []float64{0.001, 0.005, 0.02, 0.08, 0.3, 0.6, 1.3, 2.6, 5, 10, 30, 60}
+
+// Meter holds the instruments of one router. It is concurrent-safe.
+type Meter struct {
+	provider   *sdk.MeterProvider
+	registry   *prometheus.Registry
+	requests   metric.Int64Counter
+	durations  metric.Float64Histogram
+	firstChunk metric.Float64Histogram
+	attempts   metric.Int64Counter
+	meter      metric.Meter
+}
+
+// New returns a Meter with its own registry.
+func New() (*Meter, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, err
+	}
+	m := &Meter{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
+		registry: registry,
+	}
+	m.meter = m.provider.Meter("amaranthtide")
+	return m, m.instruments()
+}
+
+func (m *Meter) instruments() error {
+	var err error
+	if m.requests, err = m.meter.Int64Counter("amaranthtide.requests",
+		metric.WithDescription("Requests of callers, by result (ok or error kind) and whether they ran.")); err != nil {
+		return err
+	}
+	if m.durations, err = m.meter.Float64Histogram("amaranthtide.request.duration", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...),
+		metric.WithDescription("Time from a caller's request to the end of its answer.")); err != nil {
+		return err
+	}
+	if m.firstChunk, err = m.meter.Float64Histogram("amaranthtide.request.first_chunk", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...),
+		metric.WithDescription("Time from a caller's request to the first bytes of its answer.")); err != nil {
+		return err
+	}
+	m.attempts, err = m.meter.Int64Counter("amaranthtide.attempts",
+		metric.WithDescription("Attempts sent to backend servers, by result."))
+	return err
+}
+
+// Request records the end of a caller's request.
+func (m *Meter) Request(req *amaranthtide.Request, took time.Duration, err error) {
+	set := attribute.NewSet(
+		attribute.String("result", result(err)),
+		attribute.String("target", target(req)),
+	)
+	m.requests.Add(context.Background(), 1, metric.WithAttributeSet(set))
+	m.durations.Record(context.Background(), took.Seconds(), metric.WithAttributeSet(set))
+}
+
+// FirstChunk records the time to the first bytes of an answer.
+func (m *Meter) FirstChunk(req *amaranthtide.Request, took time.Duration) {
+	m.firstChunk.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("target", target(req))))
+}
+
+// Attempt records the end of an attempt at a backend server.
+func (m *Meter) Attempt(req *amaranthtide.Request, err error) {
+	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("result", result(err)), attribute.String("target", target(req))))
+}
+
+// Gauge registers a value that is read when metrics are collected.
+func (m *Meter) Gauge(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return err
+}
+
+// Counter registers a rising count that is read when metrics are collected.
+func (m *Meter) Counter(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return err
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close flushes and stops the instruments.
+func (m *Meter) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+func result(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return amaranthtide.KindOf(err).String()
+}
+
+// target has the values of models and routes only: names of workspaces would make
+// 19,000 series.
+func target(req *amaranthtide.Request) string {
+	if req.Model != "" {
+		return string(req.Model)
+	}
+	return string(req.Route)
+}
--- /dev/null
+++ b/transport/metrics/meter_test.go
@@ -0,0 +1,37 @@
+package metrics_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/transport/metrics"
+)
+
+// Guards against counts that never reach the collector.
+func TestMetricsAreServed(t *testing.T) {
+	is := is.New(t)
+	m, err := metrics.New()
+	is.NoErr(err)
+	defer m.Close(t.Context())
+	req := &amaranthtide.Request{Model: "chat"}
+	m.Request(req, time.Second, nil)
+	m.Request(req, time.Second, amaranthtide.Errorf(amaranthtide.KindFull, "full"))
+	is.NoErr(m.Gauge("amaranthtide.table.revision", "Revision in force.", func() int64 { return 7 }))
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{
+		`amaranthtide_requests_total{result="ok",target="chat"} 1`,
+		`amaranthtide_requests_total{result="full",target="chat"} 1`,
+		`amaranthtide_table_revision 7`,
+	} {
+		if !strings.Contains(w.Body.String(), want) {
+			t.Errorf("got: %s, want: %s", w.Body, want)
+		}
+	}
+}
