--- /dev/null
+++ b/protocol/completion/request.go
@@ -0,0 +1,171 @@
+package completion
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"hash"
+	"io"
+	"strconv"
+	"strings"
+
+	"crypto/sha256"
+
+	"amaranthtide"
+)
+
+const (
+	// DefaultMaxOutput is the assumed output, in tokens, of a request that sets no limit.
+	DefaultMaxOutput = 256
+	// MaxOutputLimit bounds the output limit of a request, so that costs can't overflow.
+	MaxOutputLimit = 1 << 20
+	// costDivisor turns prompt bytes into estimated work: prefill of a prompt token
+	// (about four bytes) costs about half as much as an output token.
+	costDivisor = 8
+)
+
+// Message is one message of a request.
+type Message struct {
+	Role string
+	// Text is the text content; the texts of several parts are joined by newlines.
+	Text string
+}
+
+// Request holds the parts of a chat completion request that routing needs.
+type Request struct {
+	// Model is empty if the request names none.
+	Model  amaranthtide.ModelName
+	Stream bool
+	// MaxOutput is the output limit in tokens, DefaultMaxOutput if absent.
+	MaxOutput int
+	// User and PromptCacheKey may be empty.
+	User           string
+	PromptCacheKey string
+	Messages       []Message
+	// Cost estimates the work in tokens; at least 1.
+	Cost int
+}
+
+type requestJSON struct {
+	Model               *string       `json:"model"`
+	Stream              *bool         `json:"stream"`
+	MaxTokens           *int          `json:"max_tokens"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	User                *string       `json:"user"`
+	PromptCacheKey      *string       `json:"prompt_cache_key"`
+	Messages            []messageJSON `json:"messages"`
+}
+
+type messageJSON struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
+}
+
+// content is null, a text, or a list of parts of which only text parts count.
+type content string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *content) UnmarshalJSON(data []byte) error {
+	switch {
+	case bytes.Equal(data, []byte("null")):
+		return nil
+	case data[0] == '"':
+		return json.Unmarshal(data, (*string)(c))
+	case data[0] != '[':
+		return errors.New("content must be a text or a list of parts")
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	var texts []string
+	for _, p := range parts {
+		if p.Type == "text" {
+			texts = append(texts, p.Text)
+		}
+	}
+	*c = content(strings.Join(texts, "\n"))
+	return nil
+}
+
+// Parse reads a request body. Fields that routing doesn't need are not checked. An
+// error is of KindBadRequest.
+func Parse(body []byte) (Request, error) {
+	var j requestJSON
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(&j); err != nil {
+		return Request{}, badRequest("body is not valid: %w", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Request{}, badRequest("body has data after the JSON object")
+	}
+	if len(j.Messages) == 0 {
+		return Request{}, badRequest("messages is missing or empty")
+	}
+	req := Request{
+		Model:          amaranthtide.ModelName(value(j.Model)),
+		Stream:         value(j.Stream),
+		MaxOutput:      DefaultMaxOutput,
+		User:           value(j.User),
+		PromptCacheKey: value(j.PromptCacheKey),
+		Messages:       make([]Message, len(j.Messages)),
+	}
+	for _, limit := range []*int{j.MaxTokens, j.MaxCompletionTokens} {
+		if limit == nil {
+			continue
+		}
+		if *limit < 1 || *limit > MaxOutputLimit {
+			return Request{}, badRequest("output limit %d is not in 1 to %d", *limit, MaxOutputLimit)
+		}
+		req.MaxOutput = *limit
+	}
+	promptBytes := 0
+	for i, m := range j.Messages {
+		if m.Role == "" {
+			return Request{}, badRequest("message %d has no role", i)
+		}
+		req.Messages[i] = Message{m.Role, string(m.Content)}
+		promptBytes += len(m.Content)
+	}
+	req.Cost = max(1, promptBytes/costDivisor+req.MaxOutput)
+	return req, nil
+}
+
+// DerivedChat returns a chat identifier from the model and the first system and
+// first user messages. It stays the same when a caller resends a chat's history
+// with new messages at its end.
+func (r Request) DerivedChat() amaranthtide.ChatID {
+	h := sha256.New()
+	writePart(h, string(r.Model))
+	for _, role := range []string{"system", "user"} {
+		for _, m := range r.Messages {
+			if m.Role == role {
+				writePart(h, role)
+				writePart(h, m.Text)
+				break
+			}
+		}
+	}
+	return amaranthtide.ChatID(hex.EncodeToString(h.Sum(nil)[:16]))
+}
+
+// writePart writes the length before the text, so that no two lists of parts agree.
+func writePart(h hash.Hash, part string) {
+	_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
+}
+
+func value[T any](p *T) T {
+	if p == nil {
+		var zero T
+		return zero
+	}
+	return *p
+}
+
+func badRequest(format string, args ...any) error {
+	return amaranthtide.Errorf(amaranthtide.KindBadRequest, "chat completion: "+format, args...)
+}
--- /dev/null
+++ b/protocol/completion/scanner_test.go
@@ -0,0 +1,159 @@
+package completion_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/protocol/completion"
+)
+
+// split is a simple oracle over the whole stream: the end of each event, the last
+// id and whether the terminal event was found.
+func split(stream string) (ends []int, lastID string, done bool) {
+	var data []string
+	id := ""
+	for pos, first := 0, true; pos < len(stream) && !done; first = false {
+		i := strings.IndexAny(stream[pos:], "\r\n")
+		if i < 0 {
+			break
+		}
+		line := stream[pos : pos+i]
+		if first {
+			line = strings.TrimPrefix(line, "\ufeff")
+		}
+		next := pos + i + 1
+		if stream[pos+i] == '\r' && next < len(stream) && stream[next] == '\n' {
+			next++
+		}
+		pos = next
+		if line == "" {
+			ends = append(ends, pos)
+			lastID = id
+			done = len(data) == 1 && data[0] == "[DONE]"
+			data = nil
+			continue
+		}
+		name, v, _ := strings.Cut(line, ":")
+		v = strings.TrimPrefix(v, " ")
+		switch {
+		case name == "data":
+			data = append(data, v)
+		case name == "id" && !strings.Contains(v, "\x00"):
+			id = v
+		}
+	}
+	return ends, lastID, done
+}
+
+// Guards against events that are missed, split or wrongly taken for terminal when
+// the pieces of a stream end anywhere.
+func TestScannerMatchesSplitter(t *testing.T) {
+	piece := rapid.SampledFrom([]string{
+		"data: x", "data: [DONE]", "data:[DONE]", "data", "id: 7", "id:8", "id", "id: a\x00b", ": ping", "event: y",
+		"dataset: 1", "idle", "\n", "\n", "\n\n", "\r\n\r\n", "\r", "\r\n", "\ufeff", "[DONE]", " ",
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		stream := strings.Join(rapid.SliceOfN(piece, 0, 40).Draw(t, "stream"), "")
+		var s completion.Scanner
+		last := 0
+		for pos := 0; pos < len(stream) && !s.Done(); {
+			n := rapid.IntRange(1, len(stream)-pos).Draw(t, "piece")
+			end, err := s.Scan([]byte(stream[pos : pos+n]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if end > 0 {
+				last = pos + end
+			}
+			pos += n
+		}
+		ends, id, done := split(stream)
+		want := 0
+		if len(ends) > 0 {
+			want = ends[len(ends)-1]
+		}
+		// A CRLF that is cut after its CR may or may not count to the event.
+		if last != want && (last != want-1 || stream[last] != '\n') {
+			t.Fatalf("end of last event got: %d, want: %d in %q", last, want, stream)
+		}
+		if s.LastID() != id || s.Done() != done {
+			t.Fatalf("got: id %q done %v, want: id %q done %v in %q", s.LastID(), s.Done(), id, done, stream)
+		}
+	})
+}
+
+// Guards against lines without end that take all memory.
+func TestScannerBoundsLines(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+		bad  bool
+	}{{"at bound", completion.MaxLine, false}, {"over bound", completion.MaxLine + 1, true}}
+	for _, tt := range tests {
+		for _, piece := range []int{1 << 12, 1 << 22} {
+			t.Run(tt.name, func(t *testing.T) {
+				var s completion.Scanner
+				var err error
+				for rest := strings.Repeat("x", tt.size) + "\n\n"; rest != "" && err == nil; {
+					n := min(piece, len(rest))
+					_, err = s.Scan([]byte(rest[:n]))
+					rest = rest[n:]
+				}
+				if got := amaranthtide.IsKind(err, amaranthtide.KindBackendFailed); got != tt.bad {
+					t.Errorf("got: %v, want error: %v", err, tt.bad)
+				}
+			})
+		}
+	}
+}
+
+// Guards against malformed bodies that reach an engine, and against wrong costs.
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name, body, err string
+		cost            int
+	}{
+		{"text", `{"model":"m","messages":[{"role":"user","content":"12345678"}],"max_tokens":5}`, "", 6},
+		{"parts", `{"messages":[{"role":"user","content":[{"type":"text","text":"12345678"},{"type":"image_url"}]}],"max_completion_tokens":1}`, "", 2},
+		{"null content", `{"messages":[{"role":"assistant","content":null}]}`, "", completion.DefaultMaxOutput},
+		{"not JSON", `{"model":`, "not valid", 0},
+		{"trailing data", `{"messages":[{"role":"user","content":"a"}]} x`, "after the JSON", 0},
+		{"no messages", `{"model":"m"}`, "messages is missing", 0},
+		{"no role", `{"messages":[{"content":"a"}]}`, "no role", 0},
+		{"bad content", `{"messages":[{"role":"user","content":4}]}`, "text or a list", 0},
+		{"bad limit", `{"messages":[{"role":"user","content":"a"}],"max_tokens":0}`, "output limit", 0},
+		{"bad model", `{"model":3,"messages":[{"role":"user","content":"a"}]}`, "model", 0},
+		{"list", `[]`, "not valid", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			req, err := completion.Parse([]byte(tt.body))
+			if tt.err == "" {
+				is.NoErr(err)
+				is.Equal(req.Cost, tt.cost)
+				return
+			}
+			is.True(amaranthtide.IsKind(err, amaranthtide.KindBadRequest))
+			is.True(strings.Contains(err.Error(), tt.err))
+		})
+	}
+}
+
+// Guards against chats that change their identity when they grow.
+func TestDerivedChatIsStable(t *testing.T) {
+	is := is.New(t)
+	parse := func(messages string) amaranthtide.ChatID {
+		req, err := completion.Parse([]byte(`{"model":"m","messages":[` + messages + `]}`))
+		is.NoErr(err)
+		return req.DerivedChat()
+	}
+	first := `{"role":"system","content":"s"},{"role":"user","content":"u"}`
+	is.Equal(parse(first), parse(first+`,{"role":"assistant","content":"a"},{"role":"user","content":"v"}`))
+	is.True(parse(first) != parse(`{"role":"system","content":"s"},{"role":"user","content":"v"}`))
+	is.True(parse(`{"role":"system","content":"su"}`) != parse(first))
+}
