standin/engine, transport/engine: model engine stand-in and streaming client

Change: one loop with one timer drives all tokens of an engine; the client passes on whole events only, resumes after the last one, and shows the head with the first event. Figures: resumption at each byte boundary of a stream of 6 events gives the whole answer.

--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthtide"
+	"amaranthtide/protocol/completion"
+)
+
+const (
+	wordLetters = 5
+	// bytesPerToken is the usual length of a prompt token.
+	bytesPerToken = 4
+)
+
+// Answer returns the text that the engine answers to a request body: one word per
+// token of its output limit, each derived from a hash of the whole body. The text
+// ends with a blank, as each word does.
+func Answer(body []byte) (string, error) {
+	req, err := completion.Parse(body)
+	if err != nil {
+		return "", err
+	}
+	return answerText(xxhash.Sum64(body), req.MaxOutput), nil
+}
+
+func answerText(seed uint64, tokens int) string {
+	b := make([]byte, 0, tokens*(wordLetters+1))
+	for i := range tokens {
+		b = appendWord(b, seed, i)
+	}
+	return string(b)
+}
+
+// appendWord appends the word of token i, from 0, and a blank. The multipliers are
+// those of the splitmix64 generator.
+func appendWord(b []byte, seed uint64, i int) []byte {
+	x := seed + uint64(i+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x ^= x >> 31
+	for range wordLetters {
+		b = append(b, 'a'+byte(x%26))
+		x /= 26
+	}
+	return append(b, ' ')
+}
+
+// usage is the usage part of answers.
+type usage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	TotalTokens         int           `json:"total_tokens"`
+	PromptTokensDetails promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// events builds the events of one stream. Events 1 to tokens carry a word each;
+// the last three carry the finish reason, the usage and the end.
+type events struct {
+	seed           uint64
+	tokens         int
+	prefix, suffix []byte
+	id, model      string
+	created        int64
+}
+
+const closingEvents = 3
+
+func newEvents(attempt amaranthtide.AttemptID, model amaranthtide.ModelName, created int64, seed uint64, tokens int) *events {
+	e := &events{seed: seed, tokens: tokens, id: quote("chatcmpl-" + string(attempt)), model: quote(string(model)), created: created}
+	e.prefix = []byte("data: " + e.head("chat.completion.chunk") + `,"choices":[{"index":0,"delta":{"content":"`)
+	e.suffix = []byte(`"},"finish_reason":null}]}` + "\n\n")
+	return e
+}
+
+func (e *events) head(object string) string {
+	return `{"id":` + e.id + `,"object":"` + object + `","created":` + strconv.FormatInt(e.created, 10) + `,"model":` + e.model
+}
+
+func (e *events) count() int { return e.tokens + closingEvents }
+
+// append appends event n, from 1.
+func (e *events) append(b []byte, n int, u usage) []byte {
+	b = append(b, "id: "...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	b = append(b, '\n')
+	switch n - e.tokens {
+	case 1:
+		b = append(b, "data: "+e.head("chat.completion.chunk")+`,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`...)
+	case 2:
+		b = append(b, "data: "+e.head("chat.completion.chunk")+`,"choices":[],"usage":`+quote(u)+`}`...)
+	case closingEvents:
+		b = append(b, "data: [DONE]"...)
+	default:
+		b = append(b, e.prefix...)
+		b = appendWord(b, e.seed, n-1)
+		return append(b, e.suffix...)
+	}
+	return append(b, "\n\n"...)
+}
+
+// whole returns the answer to a request that is not streamed.
+func (e *events) whole(u usage) []byte {
+	return []byte(e.head("chat.completion") + `,"choices":[{"index":0,"message":{"role":"assistant","content":` +
+		quote(answerText(e.seed, e.tokens)) + `},"finish_reason":"stop"}],"usage":` + quote(u) + `}`)
+}
+
+// quote returns the JSON form of a text or a plain struct, which can't fail.
+func quote(v any) string {
+	b, _ := json.Marshal(v)
+	return string(b)
+}
--- /dev/null
+++ b/standin/engine/batch.go
@@ -0,0 +1,190 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"amaranthtide"
+)
+
+type runState uint8
+
+const (
+	waiting runState = iota
+	active
+	finished
+	dropped
+)
+
+// run is one request in the engine. The engine's lock guards it, but for the
+// fields above state, which don't change.
+type run struct {
+	attempt  amaranthtide.AttemptID
+	priority int
+	events   *events
+	chain    []link
+	stream   bool
+	// cutAt is the number of body bytes after which the first connection breaks;
+	// negative is never.
+	cutAt int
+
+	state runState
+	// readyAt is when prefill ends.
+	readyAt  time.Time
+	produced int
+	usage    usage
+	// reader is signaled when there is more to send; nil if nobody reads. It is
+	// closed when another reader takes over.
+	reader chan struct{}
+	// orphanedAt is when the last reader went away.
+	orphanedAt time.Time
+}
+
+func (r *run) signal() {
+	if r.reader == nil {
+		return
+	}
+	select {
+	case r.reader <- struct{}{}:
+	default:
+	}
+}
+
+// ready returns the number of events that can be sent.
+func (r *run) ready() int {
+	if r.state == finished {
+		return r.events.count()
+	}
+	return min(r.produced, r.events.tokens-1)
+}
+
+// batch schedules the runs of one boot. The engine's lock guards it.
+type batch struct {
+	cfg      Config
+	cache    *prefixCache
+	counters *Counters
+	waiting  []*run
+	active   []*run
+	lastStep time.Time
+	// prefillEnd is when the prefill of the runs so far ends.
+	prefillEnd time.Time
+}
+
+func newBatch(cfg Config, counters *Counters) *batch {
+	return &batch{cfg: cfg, counters: counters, cache: newPrefixCache(cfg.CacheTokens)}
+}
+
+func (b *batch) load() int { return len(b.waiting) + len(b.active) }
+
+// add puts a run behind those of its priority.
+func (b *batch) add(r *run) {
+	i := len(b.waiting)
+	for i > 0 && b.waiting[i-1].priority < r.priority {
+		i--
+	}
+	b.waiting = slices.Insert(b.waiting, i, r)
+}
+
+// remove takes a run out and reports whether it was in the batch.
+func (b *batch) remove(r *run) bool {
+	n := b.load()
+	same := func(x *run) bool { return x == r }
+	b.waiting = slices.DeleteFunc(b.waiting, same)
+	b.active = slices.DeleteFunc(b.active, same)
+	return b.load() < n
+}
+
+// advance starts waiting runs and produces the tokens that are due. It returns the
+// time of the next step; zero if there is nothing to do.
+func (b *batch) advance(now time.Time) time.Time {
+	for {
+		b.start(now)
+		if len(b.active) == 0 {
+			b.lastStep = time.Time{}
+			return time.Time{}
+		}
+		decoding := 0
+		first := b.active[0].readyAt
+		for _, r := range b.active {
+			if !r.readyAt.After(now) {
+				decoding++
+			} else if r.readyAt.Before(first) {
+				first = r.readyAt
+			}
+		}
+		if decoding == 0 {
+			b.lastStep = time.Time{}
+			return first
+		}
+		if b.lastStep.IsZero() {
+			b.lastStep = now
+		}
+		interval := b.interval(decoding)
+		steps := int(now.Sub(b.lastStep) / interval)
+		if steps == 0 {
+			return b.lastStep.Add(interval)
+		}
+		b.lastStep = b.lastStep.Add(time.Duration(steps) * interval)
+		if !b.produce(now, steps) {
+			return b.lastStep.Add(interval)
+		}
+	}
+}
+
+// start moves waiting runs into free slots.
+func (b *batch) start(now time.Time) {
+	for len(b.active) < b.cfg.Capacity && len(b.waiting) > 0 {
+		r := b.waiting[0]
+		b.waiting = slices.Delete(b.waiting, 0, 1)
+		b.active = append(b.active, r)
+		r.state = active
+		cached, ideal := b.cache.lookup(r.chain)
+		b.cache.add(r.chain)
+		prompt := 0
+		for _, l := range r.chain {
+			prompt += l.tokens
+		}
+		r.usage = usage{prompt, r.events.tokens, prompt + r.events.tokens, promptDetails{cached}}
+		b.counters.PromptTokens += prompt
+		b.counters.CachedTokens += cached
+		b.counters.IdealCachedTokens += ideal
+		if b.prefillEnd.Before(now) {
+			b.prefillEnd = now
+		}
+		b.prefillEnd = b.prefillEnd.Add(time.Duration(float64(prompt-cached) / b.cfg.PrefillTokensPerSecond * float64(time.Second)))
+		r.readyAt = b.prefillEnd
+	}
+}
+
+func (b *batch) interval(decoding int) time.Duration {
+	fill := float64(decoding-1) / float64(max(b.cfg.Capacity-1, 1))
+	return max(1, time.Duration(float64(b.cfg.TokenInterval)*(1+b.cfg.BatchSlowdown*fill)))
+}
+
+// produce gives each decoding run its tokens and reports whether any finished.
+func (b *batch) produce(now time.Time, steps int) bool {
+	n := len(b.active)
+	b.active = slices.DeleteFunc(b.active, func(r *run) bool {
+		if r.readyAt.After(now) {
+			return false
+		}
+		r.produced = min(r.produced+steps, r.events.tokens)
+		done := r.produced == r.events.tokens
+		if done {
+			b.finish(r)
+		}
+		if done || r.stream {
+			r.signal()
+		}
+		return done
+	})
+	return len(b.active) < n
+}
+
+func (b *batch) finish(r *run) {
+	r.state = finished
+	b.counters.Completed++
+	b.counters.OutputTokens += r.events.tokens
+	// The cache holds the answer, too, which the chat's next request repeats.
+	b.cache.add(append(r.chain, nextLink(r.chain[len(r.chain)-1].hash, r.message())))
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,335 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthtide"
+	"amaranthtide/protocol/completion"
+	"amaranthtide/protocol/wire"
+)
+
+const maxBody = 4 << 20
+
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.complete)
+	mux.HandleFunc("GET /v1/streams/{attempt}", s.resume)
+	mux.HandleFunc("DELETE /v1/streams/{attempt}", s.cancel)
+	mux.HandleFunc("GET /load", s.load)
+	mux.HandleFunc("POST /orders", s.order)
+	mux.HandleFunc("GET /standin/counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) })
+	mux.HandleFunc("GET /standin/orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Orders()) })
+	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
+	mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	mux.HandleFunc("POST /standin/control", s.control)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/standin/control" {
+			s.awaitThaw(r)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func refuse(w http.ResponseWriter, kind amaranthtide.Kind) {
+	w.Header().Set(wire.HeaderNotRun, "true")
+	w.Header().Set(wire.HeaderReason, kind.String())
+	w.WriteHeader(kind.Reply().Status)
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	boot := s.Boot()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	req, err := completion.Parse(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if s.cfg.Model != "" && req.Model != s.cfg.Model {
+		refuse(w, amaranthtide.KindUnknownModel)
+		return
+	}
+	attempt := amaranthtide.AttemptID(r.Header.Get(wire.HeaderAttempt))
+	if attempt == "" {
+		attempt = amaranthtide.NewAttemptID()
+	}
+	now := time.Now()
+	rn := &run{
+		attempt: attempt,
+		chain:   chain(string(req.Model), req.Messages),
+		stream:  req.Stream,
+		events:  newEvents(attempt, req.Model, now.Unix(), xxhash.Sum64(body), req.MaxOutput),
+		cutAt:   -1,
+		reader:  make(chan struct{}, 1),
+	}
+	rn.priority, _ = strconv.Atoi(r.Header.Get(wire.HeaderPriority))
+	kind, err := s.admit(now, boot, rn)
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	case kind == amaranthtide.KindInternal:
+		s.stopIfDown()
+		panic(http.ErrAbortHandler)
+	case kind != 0:
+		refuse(w, kind)
+		return
+	}
+	s.wakeLoop()
+	s.answer(w, r, rn, rn.reader, 0, rn.cutAt)
+}
+
+func (r *run) message() completion.Message {
+	return completion.Message{Role: "assistant", Text: answerText(r.events.seed, r.events.tokens)}
+}
+
+var errKnownAttempt = errors.New("attempt is known already")
+
+// admit takes a run in or returns the kind of its refusal. KindInternal means that
+// the engine fell over.
+func (s *Server) admit(now time.Time, boot amaranthtide.BootID, rn *run) (amaranthtide.Kind, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A request that an earlier boot has read is lost with its connection.
+	if s.down || boot != s.boot {
+		return amaranthtide.KindInternal, nil
+	}
+	if _, ok := s.runs[rn.attempt]; ok {
+		return 0, errKnownAttempt
+	}
+	if s.leaving {
+		s.counters.Refused++
+		return amaranthtide.KindLeaving, nil
+	}
+	bears, warm := s.bears(now)
+	if s.batch.load() >= bears {
+		if warm {
+			s.counters.Refused++
+			return amaranthtide.KindFull, nil
+		}
+		s.counters.Overruns++
+		s.awayLocked(now.Add(s.cfg.RecoverTime))
+		return amaranthtide.KindInternal, nil
+	}
+	if s.faults.CutAfterBytes > 0 {
+		rn.cutAt = s.faults.CutAfterBytes
+	}
+	if s.faults.CutShare > 0 && s.random.Float64() < s.faults.CutShare {
+		const eventBytes = 160 // about the length of an event of a word
+		rn.cutAt = s.random.IntN(eventBytes * rn.events.count())
+	}
+	s.runs[rn.attempt] = rn
+	s.batch.add(rn)
+	s.counters.Runs++
+	load := s.batch.load()
+	s.counters.GreatestLoad = max(s.counters.GreatestLoad, load)
+	s.record(now)
+	if s.cfg.OnAdmit != nil {
+		s.cfg.OnAdmit(now, load)
+	}
+	return 0, nil
+}
+
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	sent := 0
+	if last := r.Header.Get(wire.HeaderLastEventID); last != "" {
+		n, err := strconv.Atoi(last)
+		if err != nil || n < 0 {
+			http.Error(w, "Last-Event-ID is not an event of this stream", http.StatusBadRequest)
+			return
+		}
+		sent = n
+	}
+	reader := make(chan struct{}, 1)
+	s.mu.Lock()
+	rn, ok := s.runs[amaranthtide.AttemptID(r.PathValue("attempt"))]
+	ok = ok && rn.stream && !s.cfg.NoResume
+	if ok {
+		if rn.reader != nil {
+			close(rn.reader)
+		}
+		rn.reader = reader
+		s.counters.Resumed++
+	}
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.answer(w, r, rn, reader, sent, -1)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	rn, ok := s.runs[amaranthtide.AttemptID(r.PathValue("attempt"))]
+	if ok {
+		s.drop(rn)
+	}
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.wakeLoop()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// answer sends a run to its reader. It sends events after the given one and breaks
+// the connection after cutAt bytes of the body if that is not negative.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, rn *run, reader chan struct{}, sent, cutAt int) {
+	defer s.detach(rn, reader)
+	h := w.Header()
+	h.Set(wire.HeaderAttempt, string(s.shownAttempt(rn)))
+	if rn.stream {
+		h.Set("Content-Type", "text/event-stream")
+		if !s.cfg.NoResume {
+			h.Set(wire.HeaderResumable, "true")
+		}
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for {
+		s.awaitThaw(r)
+		s.mu.Lock()
+		state, ready, u := rn.state, rn.ready(), rn.usage
+		s.mu.Unlock()
+		if state == dropped {
+			panic(http.ErrAbortHandler)
+		}
+		if !rn.stream && state == finished {
+			body := rn.events.whole(u)
+			h.Set("Content-Type", "application/json")
+			h.Set("Content-Length", strconv.Itoa(len(body)))
+			_ = send(w, body, cutAt)
+			return
+		}
+		if rn.stream && ready > sent {
+			b := (*buf)[:0]
+			for ; sent < ready; sent++ {
+				b = rn.events.append(b, sent+1, u)
+			}
+			*buf = b
+			cutAt = send(w, b, cutAt)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if rn.stream && sent >= rn.events.count() {
+			return
+		}
+		select {
+		case _, ok := <-reader:
+			if !ok {
+				panic(http.ErrAbortHandler)
+			}
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// send writes b and returns what is left of cutAt. It breaks the connection there.
+func send(w http.ResponseWriter, b []byte, cutAt int) int {
+	if cutAt < 0 {
+		_, _ = w.Write(b)
+		return cutAt
+	}
+	if cutAt > len(b) {
+		_, _ = w.Write(b)
+		return cutAt - len(b)
+	}
+	_, _ = w.Write(b[:cutAt])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// shownAttempt returns the attempt identifier for the answer's head.
+func (s *Server) shownAttempt(rn *run) amaranthtide.AttemptID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.CrossShare > 0 && s.random.Float64() < s.faults.CrossShare {
+		return amaranthtide.NewAttemptID()
+	}
+	return rn.attempt
+}
+
+// detach marks a run without a reader. A run that can be resumed stays for the
+// grace, also when it is finished: its last bytes may not have arrived.
+func (s *Server) detach(rn *run, reader chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rn.reader != reader {
+		return
+	}
+	rn.reader = nil
+	if s.runs[rn.attempt] != rn {
+		return
+	}
+	if !rn.stream || s.cfg.NoResume {
+		s.drop(rn)
+	} else {
+		rn.orphanedAt = time.Now()
+		s.orphans = append(s.orphans, rn)
+	}
+	s.wakeLoop()
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := s.history.report(time.Now())
+	s.mu.Unlock()
+	writeJSON(w, wire.FromEngineReport(report))
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	f := s.Faults()
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	switch q.Get("do") {
+	case "leave":
+		s.Leave()
+	case "reboot":
+		s.Reboot()
+	case "freeze":
+		s.Freeze()
+	case "thaw":
+		s.Thaw()
+	case "kill":
+		d, err := time.ParseDuration(q.Get("for"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.away(time.Now().Add(d))
+	default:
+		http.Error(w, "do must be leave, reboot, freeze, thaw or kill", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/engine/order.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/protocol/wire"
+)
+
+// OrderEffect is an order that took effect.
+type OrderEffect struct {
+	Time  time.Time  `json:"time"`
+	Order wire.Order `json:"order"`
+}
+
+// Orders returns the orders that took effect, in the order of their effects. The
+// last one is the state of the engine.
+func (s *Server) Orders() []OrderEffect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var o wire.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if status := s.checkOrder(o, false); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	if s.cfg.OrderTime > 0 {
+		// The order goes on although its sender has gone, as a load of weights does.
+		t := time.NewTimer(s.cfg.OrderTime)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-s.quit:
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if status := s.checkOrder(o, true); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// checkOrder returns the status of a refusal, or 0. It makes the order take effect
+// if apply is set.
+func (s *Server) checkOrder(o wire.Order, apply bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !o.Deadline.IsZero() && now.After(o.Deadline) {
+		return http.StatusGatewayTimeout
+	}
+	if s.cfg.CheckFencing && o.Fencing < s.fencing {
+		return http.StatusConflict
+	}
+	s.fencing = max(s.fencing, o.Fencing)
+	if apply {
+		s.orders = append(s.orders, OrderEffect{now, o})
+	}
+	return 0
+}
+
+// Fencing returns the highest fencing number seen.
+func (s *Server) Fencing() amaranthtide.FencingNumber {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fencing
+}
--- /dev/null
+++ b/transport/engine/client.go
@@ -0,0 +1,271 @@
+// Package engine is the client of model engines: chat completions, load reports
+// and orders over HTTP.
+//
+// # Usage
+//
+//	c := engine.New(engine.Config{})
+//	defer c.Close()
+//	err := c.Serve(ctx, addr, req, w) // nil only after the whole answer
+//	report, err := c.Load(ctx, addr)
+//
+// Each call of AnswerWriter.Chunk in a stream passes one or more whole events. The
+// head is written with the first event, so that a request whose engine fails before
+// it can still be run elsewhere. A stream that is cut before "data: [DONE]" is
+// resumed if the engine offers it. AnswerHead.Server is left empty, since the client
+// knows only addresses. The HTTP protocol is documented at package standin/engine.
+package engine
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/protocol/wire"
+	"amaranthtide/transport/internal/httpclient"
+)
+
+const (
+	// DefaultControlTimeout bounds a load report.
+	DefaultControlTimeout = time.Second
+	// DefaultOrderTimeout bounds an order without a deadline.
+	DefaultOrderTimeout = 5 * time.Minute
+	// DefaultResumes is the number of tries to resume one answer.
+	DefaultResumes = 3
+	// cancelTimeout bounds the wait for an engine to confirm a cancellation. Until
+	// then the request still counts at its owner.
+	cancelTimeout   = 500 * time.Millisecond
+	resumePause     = 50 * time.Millisecond
+	maxControlBytes = 64 << 10
+
+	completionsPath = "/v1/chat/completions"
+	streamsPath     = "/v1/streams/"
+)
+
+// Config is what a Client needs. The zero value is usable.
+type Config struct {
+	// ControlTimeout bounds a load report.
+	ControlTimeout time.Duration
+	// Resumes is the number of tries to resume one answer; negative is none.
+	Resumes int
+}
+
+// Client implements amaranthtide.Backend and amaranthtide.EngineControl. It is
+// concurrent-safe.
+type Client struct {
+	cfg       Config
+	transport *http.Transport
+}
+
+var (
+	_ amaranthtide.Backend       = (*Client)(nil)
+	_ amaranthtide.EngineControl = (*Client)(nil)
+)
+
+// New returns a client. It makes no connection.
+func New(cfg Config) *Client {
+	cfg.ControlTimeout = cmp.Or(cfg.ControlTimeout, DefaultControlTimeout)
+	cfg.Resumes = cmp.Or(cfg.Resumes, DefaultResumes)
+	return &Client{cfg: cfg, transport: httpclient.NewTransport(httpclient.Options{})}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Serve implements amaranthtide.Backend. Answers with a status below 500 are passed
+// on, whatever they say; those from 500 on are errors.
+func (c *Client) Serve(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := c.post(ctx, addr, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := httpclient.Refusal(resp, wire.HeaderNotRun, wire.HeaderReason); err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: status %d", addr, resp.StatusCode)
+	}
+	isError := resp.StatusCode >= http.StatusBadRequest
+	if !isError && !ownAttempt(resp, req) {
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: answer of attempt %q, want %q",
+			addr, resp.Header.Get(wire.HeaderAttempt), req.Attempt)
+	}
+	isStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	if !isError && isStream != req.Stream {
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: content type %q for stream %v",
+			addr, resp.Header.Get("Content-Type"), req.Stream)
+	}
+	if isStream {
+		s := stream{client: c, cancel: cancel, addr: addr, req: req, w: w}
+		return s.run(ctx, resp)
+	}
+	return whole(ctx, req, resp, w)
+}
+
+func ownAttempt(resp *http.Response, req *amaranthtide.Request) bool {
+	return resp.Header.Get(wire.HeaderAttempt) == string(req.Attempt)
+}
+
+// whole passes on an answer that is not streamed. It shows nothing of an answer
+// that turns out to be cut.
+func whole(ctx context.Context, req *amaranthtide.Request, resp *http.Response, w amaranthtide.AnswerWriter) error {
+	body, err := httpclient.ReadWhole(resp, httpclient.MaxBody)
+	if err != nil {
+		return contextual(ctx, err)
+	}
+	if err := w.Head(head(req, resp)); err != nil {
+		return callerGone(err)
+	}
+	if err := w.Chunk(body); err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
+func head(req *amaranthtide.Request, resp *http.Response) amaranthtide.AnswerHead {
+	return amaranthtide.AnswerHead{Attempt: req.Attempt, Status: resp.StatusCode, Header: httpclient.Fields(resp.Header)}
+}
+
+func callerGone(err error) error {
+	return amaranthtide.Errorf(amaranthtide.KindCanceled, "write answer: %w", err)
+}
+
+// contextual replaces err if the context ended: the request may go on at the engine.
+func contextual(ctx context.Context, err error) error {
+	switch cause := ctx.Err(); {
+	case cause == nil:
+		return err
+	case errors.Is(cause, context.DeadlineExceeded):
+		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "deadline passed: %w", err)
+	default:
+		return amaranthtide.Errorf(amaranthtide.KindCanceled, "canceled: %w", err)
+	}
+}
+
+// post sends the request and returns the head of its answer.
+func (c *Client) post(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request) (*http.Response, error) {
+	r, err := httpclient.NewRequest(ctx, http.MethodPost, addr, completionsPath, "", req.Body)
+	if err != nil {
+		return nil, err
+	}
+	httpclient.CopyHeader(r.Header, req.Header)
+	// The callers' credentials are for the fleet. An idempotency key would allow
+	// net/http to resend.
+	for _, name := range []string{"Authorization", "Idempotency-Key", "X-Idempotency-Key", wire.HeaderLastEventID} {
+		delete(r.Header, name)
+	}
+	r.Header["Content-Type"] = []string{"application/json"}
+	r.Header[wire.HeaderAttempt] = []string{string(req.Attempt)}
+	if req.Class == amaranthtide.ClassQuick {
+		r.Header[wire.HeaderPriority] = []string{"1"}
+	}
+	resp, connected, err := httpclient.RoundTrip(c.transport, r)
+	switch {
+	case err == nil:
+		return resp, nil
+	case !connected:
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return nil, amaranthtide.Errorf(amaranthtide.KindCanceled, "engine %v: %w", addr, err)
+		}
+		return nil, amaranthtide.Errorf(amaranthtide.KindNoBackend, "engine %v: %w", addr, err)
+	default:
+		if ctx.Err() != nil {
+			c.cancelAt(ctx, addr, req.Attempt)
+		}
+		return nil, contextual(ctx, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: %w", addr, err))
+	}
+}
+
+// cancelAt asks the engine to cancel the attempt. The engine would notice the
+// disconnect, too, but keeps a stream that can be resumed for a while.
+func (c *Client) cancelAt(ctx context.Context, addr netip.AddrPort, attempt amaranthtide.AttemptID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	resp, _, err := c.control(ctx, http.MethodDelete, addr, streamsPath+string(attempt), nil)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+func (c *Client) control(ctx context.Context, method string, addr netip.AddrPort, path string, body []byte) (*http.Response, bool, error) {
+	r, err := httpclient.NewRequest(ctx, method, addr, path, "", body)
+	if err != nil {
+		return nil, false, err
+	}
+	return httpclient.RoundTrip(c.transport, r)
+}
+
+// Load implements amaranthtide.EngineControl. An error is KindNoBackend if there was
+// no connection, else KindBackendFailed.
+func (c *Client) Load(ctx context.Context, addr netip.AddrPort) (amaranthtide.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ControlTimeout)
+	defer cancel()
+	var none amaranthtide.EngineReport
+	resp, connected, err := c.control(ctx, http.MethodGet, addr, "/load", nil)
+	if err != nil {
+		kind := amaranthtide.KindNoBackend
+		if connected {
+			kind = amaranthtide.KindBackendFailed
+		}
+		return none, amaranthtide.Errorf(kind, "load of engine %v: %w", addr, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return none, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "load of engine %v: status %d", addr, resp.StatusCode)
+	}
+	body, err := httpclient.ReadWhole(resp, maxControlBytes)
+	if err != nil {
+		return none, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "load of engine %v: %w", addr, err)
+	}
+	var report wire.EngineReport
+	if err := json.Unmarshal(body, &report); err != nil {
+		return none, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "load of engine %v: %w", addr, err)
+	}
+	return report.Root(), nil
+}
+
+// Order implements amaranthtide.EngineControl. Besides KindFenced, an error is
+// KindNoBackend if nothing was sent, KindBackendFailed if the engine answered that
+// it gave up, and KindOutcomeUnknown if there was no answer.
+func (c *Client) Order(ctx context.Context, addr netip.AddrPort, o amaranthtide.Order) error {
+	body, err := json.Marshal(wire.Order(o))
+	if err != nil {
+		return amaranthtide.Errorf(amaranthtide.KindBadRequest, "order: %w", err)
+	}
+	var cancel context.CancelFunc
+	if o.Deadline.IsZero() {
+		ctx, cancel = context.WithTimeout(ctx, DefaultOrderTimeout)
+	} else {
+		ctx, cancel = context.WithDeadline(ctx, o.Deadline)
+	}
+	defer cancel()
+	resp, connected, err := c.control(ctx, http.MethodPost, addr, "/orders", body)
+	switch {
+	case err != nil && !connected:
+		return amaranthtide.Errorf(amaranthtide.KindNoBackend, "order to engine %v: %w", addr, err)
+	case err != nil:
+		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "order to engine %v: %w", addr, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := httpclient.Refusal(resp, wire.HeaderNotRun, wire.HeaderReason); err != nil {
+		return err
+	}
+	switch s := resp.StatusCode; {
+	case s < http.StatusMultipleChoices:
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlBytes))
+		return nil
+	case s == http.StatusConflict:
+		return amaranthtide.Errorf(amaranthtide.KindFenced, "order to engine %v: fencing number %d is old", addr, o.Fencing)
+	default:
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "order to engine %v: status %d", addr, s)
+	}
+}
--- /dev/null
+++ b/transport/engine/client_test.go
@@ -0,0 +1,395 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	standin "amaranthtide/standin/engine"
+	"amaranthtide/transport/engine"
+)
+
+// answer collects an answer. It fails after limit chunks if limit is positive.
+type answer struct {
+	heads, chunks, limit int
+	head                 amaranthtide.AnswerHead
+	body                 bytes.Buffer
+	onChunk              func()
+}
+
+func (a *answer) Head(h amaranthtide.AnswerHead) error {
+	a.heads++
+	a.head = h
+	return nil
+}
+
+func (a *answer) Chunk(b []byte) error {
+	a.chunks++
+	a.body.Write(b)
+	if a.onChunk != nil {
+		a.onChunk()
+	}
+	if a.limit > 0 && a.chunks >= a.limit {
+		return errors.New("caller is gone")
+	}
+	return nil
+}
+
+// text returns the words of a stream and checks that event ids rise by one from 1.
+func (a *answer) text(t *testing.T) string {
+	t.Helper()
+	var text strings.Builder
+	for i, event := range strings.Split(strings.TrimSuffix(a.body.String(), "\n\n"), "\n\n") {
+		id, data, _ := strings.Cut(event, "\n")
+		if id != fmt.Sprintf("id: %d", i+1) {
+			t.Fatalf("got: %q, want: id %d", event, i+1)
+		}
+		data = strings.TrimPrefix(data, "data: ")
+		if data == "[DONE]" {
+			continue
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatalf("event %q: %v", event, err)
+		}
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	return text.String()
+}
+
+func request(stream bool, tokens int, messages ...string) *amaranthtide.Request {
+	var list []string
+	for i, m := range messages {
+		list = append(list, fmt.Sprintf(`{"role":%q,"content":%q}`, []string{"user", "assistant"}[i%2], m))
+	}
+	body := fmt.Sprintf(`{"model":"m","stream":%v,"max_tokens":%d,"messages":[%s]}`, stream, tokens, strings.Join(list, ","))
+	return &amaranthtide.Request{Attempt: amaranthtide.NewAttemptID(), Stream: stream, Body: []byte(body)}
+}
+
+func start(t testing.TB, cfg standin.Config) (*standin.Server, *engine.Client) {
+	t.Helper()
+	s, err := standin.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	c := engine.New(engine.Config{})
+	t.Cleanup(c.Close)
+	return s, c
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// Guards against answers that lack, repeat or reorder tokens, and against answers
+// to other requests.
+func TestAnswersAreWhole(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprint(stream), func(t *testing.T) {
+			is := is.New(t)
+			s, c := start(t, standin.Config{TokenInterval: time.Millisecond})
+			var wg sync.WaitGroup
+			for i := range 12 {
+				wg.Go(func() {
+					req, a := request(stream, 20, fmt.Sprint("question ", i)), &answer{}
+					if err := c.Serve(context.Background(), s.Addr(), req, a); err != nil {
+						t.Error(err)
+						return
+					}
+					want, err := standin.Answer(req.Body)
+					if err != nil || a.head.Attempt != req.Attempt || a.heads != 1 {
+						t.Errorf("got: %v %+v, want: own answer", err, a.head)
+					}
+					if !stream {
+						if !strings.Contains(a.body.String(), want) {
+							t.Errorf("got: %s, want: %s", a.body.String(), want)
+						}
+					} else if got := a.text(t); got != want {
+						t.Errorf("got: %q, want: %q", got, want)
+					}
+				})
+			}
+			wg.Wait()
+			is.Equal(s.Counters().Completed, 12)
+		})
+	}
+}
+
+// Guards against events that a resumed stream loses or repeats, wherever the first
+// connection breaks; event boundaries are among the byte boundaries.
+func TestResumeAtEachByte(t *testing.T) {
+	s, c := start(t, standin.Config{TokenInterval: time.Nanosecond})
+	req := request(true, 3, "q")
+	var want answer
+	if err := c.Serve(context.Background(), s.Addr(), req, &want); err != nil {
+		t.Fatal(err)
+	}
+	for cut := 1; cut <= want.body.Len(); cut++ {
+		s.SetFaults(standin.Faults{CutAfterBytes: cut})
+		req, got := request(true, 3, "q"), &answer{}
+		if err := c.Serve(context.Background(), s.Addr(), req, got); err != nil {
+			t.Fatalf("cut after %d bytes: %v", cut, err)
+		}
+		text, err := standin.Answer(req.Body)
+		if err != nil || got.text(t) != text || got.heads != 1 {
+			t.Fatalf("cut after %d bytes: got: %s", cut, got.body.String())
+		}
+	}
+	// The last cut leaves the whole answer, so that it needs no resumption.
+	if got, want := s.Counters().Resumed, want.body.Len()-1; got != want {
+		t.Errorf("resumed got: %d, want: %d", got, want)
+	}
+}
+
+// Guards against cut answers that are passed off as whole, and against shown parts
+// of events.
+func TestCutAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		stream bool
+	}{{"stream", true}, {"whole", false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, c := start(t, standin.Config{TokenInterval: time.Nanosecond, NoResume: true, Faults: standin.Faults{CutAfterBytes: 300}})
+			a := &answer{}
+			err := c.Serve(context.Background(), s.Addr(), request(tt.stream, 20, "q"), a)
+			if !amaranthtide.IsKind(err, amaranthtide.KindTruncated) {
+				t.Errorf("got: %v, want: truncated", err)
+			}
+			if tt.stream && !strings.HasSuffix(a.body.String(), "\n\n") || !tt.stream && a.heads != 0 {
+				t.Errorf("shown got: %q", a.body.String())
+			}
+		})
+	}
+}
+
+// Guards against the answers of strangers, and against refusals and failures of a
+// wrong kind.
+func TestKinds(t *testing.T) {
+	head := func(status int, header ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Amaranthtide-Attempt", r.Header.Get("Amaranthtide-Attempt"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			for i := 0; i < len(header); i += 2 {
+				w.Header().Set(header[i], header[i+1])
+			}
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte("data: x\n\ndata: [DONE]\n\n"))
+		}
+	}
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    amaranthtide.Kind
+	}{
+		{"own answer", head(200), 0},
+		{"crossed", head(200, "Amaranthtide-Attempt", "other"), amaranthtide.KindBackendFailed},
+		{"not a stream", head(200, "Content-Type", "application/json"), amaranthtide.KindBackendFailed},
+		{"leaving", head(503, "Amaranthtide-Not-Run", "true", "Amaranthtide-Reason", "leaving"), amaranthtide.KindLeaving},
+		{"full", head(503, "Amaranthtide-Not-Run", "true"), amaranthtide.KindFull},
+		{"503 that may have run", head(503), amaranthtide.KindBackendFailed},
+		{"no terminal event", func(w http.ResponseWriter, r *http.Request) {
+			head(200)(w, r.WithContext(r.Context()))
+			panic(http.ErrAbortHandler)
+		}, amaranthtide.KindBackendFailed},
+		{"unknown length", func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = conn.Write([]byte("HTTP/1.1 400 Bad\r\n\r\nx"))
+			_ = conn.Close()
+		}, amaranthtide.KindTruncated},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := httptest.NewServer(tt.handler)
+			defer s.Close()
+			c := engine.New(engine.Config{})
+			defer c.Close()
+			addr := netip.MustParseAddrPort(s.Listener.Addr().String())
+			if got := amaranthtide.KindOf(c.Serve(context.Background(), addr, request(true, 1, "q"), &answer{})); got != tt.want {
+				t.Errorf("got: %v, want: %v", got, tt.want)
+			}
+		})
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	_ = l.Close()
+	err = engine.New(engine.Config{}).Serve(context.Background(), addr, request(true, 1, "q"), &answer{})
+	if !amaranthtide.IsKind(err, amaranthtide.KindNoBackend) {
+		t.Errorf("dial error got: %v, want: noBackend", err)
+	}
+}
+
+// Guards against a resumption that appends another request's events.
+func TestCrossedResumptionIsRefused(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Amaranthtide-Resumable", "true")
+		if r.Method == http.MethodGet {
+			w.Header().Set("Amaranthtide-Attempt", "other")
+			_, _ = w.Write([]byte("id: 2\ndata: theirs\n\ndata: [DONE]\n\n"))
+			return
+		}
+		w.Header().Set("Amaranthtide-Attempt", r.Header.Get("Amaranthtide-Attempt"))
+		_, _ = w.Write([]byte("id: 1\ndata: mine\n\n"))
+	}))
+	defer s.Close()
+	c := engine.New(engine.Config{})
+	defer c.Close()
+	a := &answer{}
+	err := c.Serve(context.Background(), netip.MustParseAddrPort(s.Listener.Addr().String()), request(true, 1, "q"), a)
+	if !amaranthtide.IsKind(err, amaranthtide.KindTruncated) || strings.Contains(a.body.String(), "theirs") {
+		t.Errorf("got: %v %q, want: truncated", err, a.body.String())
+	}
+}
+
+// Guards against work that goes on after its caller went away.
+func TestCancel(t *testing.T) {
+	tests := []struct {
+		name     string
+		noResume bool
+		gone     bool
+	}{{"context, resumable", false, false}, {"context, not resumable", true, false}, {"writer, resumable", false, true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, c := start(t, standin.Config{TokenInterval: 5 * time.Millisecond, NoResume: tt.noResume, ResumeGrace: time.Hour})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a := &answer{}
+			if tt.gone {
+				a.limit = 1
+			} else {
+				a.onChunk = cancel
+			}
+			err := c.Serve(ctx, s.Addr(), request(true, 1000, "q"), a)
+			if !amaranthtide.IsKind(err, amaranthtide.KindCanceled) {
+				t.Errorf("got: %v, want: canceled", err)
+			}
+			eventually(t, "cancellation", func() bool { return s.Counters().Cancelled == 1 && s.Counters().InFlight == 0 })
+		})
+	}
+}
+
+// Guards against a stand-in that bears more than a cold engine does, that keeps its
+// boot identifier or address wrongly, or that hides an overrun.
+func TestColdStartAndRestart(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, c := start(t, standin.Config{ColdLimit: 1, Warmup: time.Hour, TokenInterval: 5 * time.Millisecond, RecoverTime: 20 * time.Millisecond})
+	boot := s.Boot()
+	var wg sync.WaitGroup
+	results := make(chan error, 2)
+	for range 2 {
+		wg.Go(func() { results <- c.Serve(ctx, s.Addr(), request(true, 200, "q"), &answer{}) })
+	}
+	wg.Wait()
+	is.True(<-results != nil) // both connections drop
+	is.True(<-results != nil)
+	eventually(t, "return", func() bool { r, err := c.Load(ctx, s.Addr()); return err == nil && r.Boot != boot })
+	is.Equal(s.Counters().Overruns, 1)
+	s.Kill()
+	_, err := c.Load(ctx, s.Addr())
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindNoBackend))
+	s.Restart()
+	eventually(t, "restart", func() bool { _, err := c.Load(ctx, s.Addr()); return err == nil })
+	is.NoErr(c.Serve(ctx, s.Addr(), request(true, 2, "q"), &answer{}))
+	s.Leave()
+	is.True(amaranthtide.IsKind(c.Serve(ctx, s.Addr(), request(true, 2, "q"), &answer{}), amaranthtide.KindLeaving))
+	r, err := c.Load(ctx, s.Addr())
+	is.NoErr(err)
+	is.True(r.Leaving)
+}
+
+// Guards against a frozen engine that still answers or makes up for lost time.
+func TestFreeze(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, standin.Config{})
+	c := engine.New(engine.Config{ControlTimeout: 50 * time.Millisecond})
+	s.Freeze()
+	_, err := c.Load(context.Background(), s.Addr())
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindBackendFailed))
+	s.Thaw()
+	_, err = c.Load(context.Background(), s.Addr())
+	is.NoErr(err)
+}
+
+// Guards against wrong cache counts, which the reuse figures rest on.
+func TestPrefixCache(t *testing.T) {
+	is := is.New(t)
+	s, c := start(t, standin.Config{TokenInterval: time.Nanosecond, CacheTokens: 60})
+	serve := func(messages ...string) string {
+		req, a := request(true, 4, messages...), &answer{}
+		is.NoErr(c.Serve(context.Background(), s.Addr(), req, a))
+		return a.text(t)
+	}
+	long := strings.Repeat("x", 76) // 20 tokens with its role
+	first := serve(long)
+	serve(long, first, "more")
+	n := s.Counters()
+	is.Equal(n.CachedTokens, 27) // the question and its answer: 20 + 1 + 24/4
+	is.Equal(n.IdealCachedTokens, 27)
+	serve(strings.Repeat("y", 236)) // 60 tokens drive all else out
+	serve(long)
+	n = s.Counters()
+	is.Equal(n.CachedTokens, 27)
+	is.Equal(n.IdealCachedTokens, 47)
+}
+
+// Guards against stale orders that take effect at an engine that checks fencing.
+func TestOrders(t *testing.T) {
+	for _, check := range []bool{true, false} {
+		t.Run(fmt.Sprint(check), func(t *testing.T) {
+			is := is.New(t)
+			s, c := start(t, standin.Config{CheckFencing: check, OrderTime: 20 * time.Millisecond})
+			order := func(n amaranthtide.FencingNumber) error {
+				return c.Order(context.Background(), s.Addr(), amaranthtide.Order{Fencing: n, Role: "decode", Deadline: time.Now().Add(5 * time.Second)})
+			}
+			is.NoErr(order(2))
+			is.Equal(amaranthtide.IsKind(order(1), amaranthtide.KindFenced), check)
+			effects := s.Orders()
+			is.Equal(len(effects) == 1, check)
+			is.Equal(effects[0].Order.Role, "decode")
+		})
+	}
+}
+
+// Guards against load reports that don't lag.
+func TestLoadReportLags(t *testing.T) {
+	is := is.New(t)
+	s, c := start(t, standin.Config{ReportLag: 200 * time.Millisecond, TokenInterval: 10 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = c.Serve(ctx, s.Addr(), request(true, 1000, "q"), &answer{}) })
+	eventually(t, "admission", func() bool { return s.Counters().InFlight == 1 })
+	r, err := c.Load(context.Background(), s.Addr())
+	is.NoErr(err)
+	is.Equal(r.InFlight, 0)
+	eventually(t, "report", func() bool { r, err := c.Load(context.Background(), s.Addr()); return err == nil && r.InFlight == 1 })
+	cancel()
+	wg.Wait()
+}
