--- /dev/null
+++ b/transport/service/client.go
@@ -0,0 +1,107 @@
+// Package service is the client of plain services over HTTP.
+//
+// # Usage
+//
+//	c := service.New()
+//	defer c.Close()
+//	err := c.Serve(ctx, addr, req, w) // nil only after the whole answer
+//
+// A request that may not be repeated is sent at most once: it gets a connection of
+// its own, redirects are not followed, and net/http has no means to send the body
+// again. If such a request had a connection and no whole answer, the error is
+// KindOutcomeUnknown.
+package service
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+
+	"amaranthtide"
+	"amaranthtide/protocol/wire"
+	"amaranthtide/transport/internal/httpclient"
+)
+
+// Client implements amaranthtide.Backend for plain services. It is concurrent-safe.
+type Client struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+var _ amaranthtide.Backend = (*Client)(nil)
+
+// New returns a client. It makes no connection.
+func New() *Client {
+	return &Client{
+		pooled: httpclient.NewTransport(httpclient.Options{}),
+		fresh:  httpclient.NewTransport(httpclient.Options{Fresh: true}),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Serve implements amaranthtide.Backend. It passes on every answer of the service,
+// whatever its status, once it has all of it. The path is in its escaped form; an
+// empty one is "/".
+func (c *Client) Serve(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	path := req.Path
+	if path == "" {
+		path = "/"
+	}
+	r, err := httpclient.NewRequest(ctx, req.Method, addr, path, req.Query, req.Body)
+	if err != nil {
+		return err
+	}
+	httpclient.CopyHeader(r.Header, req.Header)
+	r.Header[wire.HeaderAttempt] = []string{string(req.Attempt)}
+	transport := c.pooled
+	if !req.Repeatable() {
+		transport = c.fresh
+		r.Header["Idempotency-Key"] = []string{string(req.Key)}
+	}
+	resp, connected, err := httpclient.RoundTrip(transport, r)
+	if err != nil {
+		return failure(ctx, addr, req, connected, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := httpclient.Refusal(resp, wire.HeaderNotRun, wire.HeaderReason); err != nil {
+		return err
+	}
+	body, err := httpclient.ReadWhole(resp, httpclient.MaxBody)
+	if err != nil {
+		return failure(ctx, addr, req, true, err)
+	}
+	head := amaranthtide.AnswerHead{Attempt: req.Attempt, Status: resp.StatusCode, Header: httpclient.Fields(resp.Header)}
+	if err := w.Head(head); err != nil {
+		return amaranthtide.Errorf(amaranthtide.KindCanceled, "write answer: %w", err)
+	}
+	if err := w.Chunk(body); err != nil {
+		return amaranthtide.Errorf(amaranthtide.KindCanceled, "write answer: %w", err)
+	}
+	return nil
+}
+
+// failure returns the error for a request without a whole answer.
+func failure(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request, connected bool, err error) error {
+	kind := amaranthtide.KindBackendFailed
+	switch cause := ctx.Err(); {
+	case !connected && errors.Is(cause, context.Canceled):
+		kind = amaranthtide.KindCanceled
+	case !connected:
+		kind = amaranthtide.KindNoBackend
+	case !req.Repeatable():
+		kind = amaranthtide.KindOutcomeUnknown
+	case errors.Is(cause, context.DeadlineExceeded):
+		kind = amaranthtide.KindOutcomeUnknown
+	case cause != nil:
+		kind = amaranthtide.KindCanceled
+	case amaranthtide.IsKind(err, amaranthtide.KindTruncated):
+		kind = amaranthtide.KindTruncated
+	}
+	return amaranthtide.Errorf(kind, "service %v: %w", addr, err)
+}
--- /dev/null
+++ b/transport/service/client_test.go
@@ -0,0 +1,155 @@
+package service_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/standin/application"
+	"amaranthtide/transport/service"
+)
+
+type answer struct {
+	head  amaranthtide.AnswerHead
+	shown bool
+	body  bytes.Buffer
+}
+
+func (a *answer) Head(h amaranthtide.AnswerHead) error {
+	a.head, a.shown = h, true
+	return nil
+}
+
+func (a *answer) Chunk(b []byte) error {
+	a.body.Write(b)
+	return nil
+}
+
+func start(t *testing.T) *application.Server {
+	t.Helper()
+	s, err := application.New(application.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func request(key amaranthtide.IdempotencyKey) *amaranthtide.Request {
+	return &amaranthtide.Request{
+		Attempt: amaranthtide.NewAttemptID(), Key: key, Method: http.MethodPost, Path: "/pay/a%2Fb", Query: "x=1",
+		Header: []amaranthtide.HeaderField{{Name: "Connection", Value: "X-Hop"}, {Name: "X-Hop", Value: "1"}}, Body: []byte("fee"),
+	}
+}
+
+// plainSend sends a keyed request as a caller with net/http does.
+func plainSend(s *application.Server) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Addr().String()+"/pay", strings.NewReader("fee"))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Idempotency-Key", "key-1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Guards against a payment that is made twice. The second half shows that the test
+// can fail: an http.Client with a kept-alive connection pays twice.
+func TestKeyedRequestsRunAtMostOnce(t *testing.T) {
+	tests := []struct {
+		at      application.Point
+		effects int
+		// plain is the number of effects when net/http sends again.
+		plain int
+	}{
+		{application.BeforeRead, 0, 1},
+		{application.AfterRead, 0, 1},
+		{application.AfterEffect, 1, 2},
+		{application.MidAnswer, 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.at), func(t *testing.T) {
+			is := is.New(t)
+			s := start(t)
+			c := service.New()
+			defer c.Close()
+			for range 3 { // would leave idle connections behind
+				is.NoErr(c.Serve(context.Background(), s.Addr(), request(""), &answer{}))
+				is.NoErr(c.Serve(context.Background(), s.Addr(), request("warm"), &answer{}))
+			}
+			s.BreakNext(tt.at, 1)
+			a := &answer{}
+			err := c.Serve(context.Background(), s.Addr(), request("key-1"), a)
+			is.True(amaranthtide.IsKind(err, amaranthtide.KindOutcomeUnknown))
+			is.True(!a.shown)
+			is.Equal(s.Stats().Effects["key-1"], tt.effects)
+			is.Equal(s.Stats().Broken, 1)
+		})
+		t.Run("plain client "+string(tt.at), func(t *testing.T) {
+			is := is.New(t)
+			s := start(t)
+			is.NoErr(plainSend(s))
+			s.BreakNext(tt.at, 1)
+			_ = plainSend(s)
+			is.Equal(s.Stats().Effects["key-1"]-1, tt.plain)
+		})
+	}
+}
+
+// Guards against a repeatable request whose failure is told wrongly, and against
+// half an answer.
+func TestRepeatableKinds(t *testing.T) {
+	tests := []struct {
+		at   application.Point
+		want amaranthtide.Kind
+	}{
+		{application.BeforeRead, amaranthtide.KindBackendFailed},
+		{application.AfterRead, amaranthtide.KindBackendFailed},
+		{application.AfterEffect, amaranthtide.KindBackendFailed},
+		{application.MidAnswer, amaranthtide.KindTruncated},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.at), func(t *testing.T) {
+			is := is.New(t)
+			s := start(t)
+			c := service.New()
+			defer c.Close()
+			s.BreakNext(tt.at, 1)
+			a := &answer{}
+			is.Equal(amaranthtide.KindOf(c.Serve(context.Background(), s.Addr(), request(""), a)), tt.want)
+			is.True(!a.shown)
+		})
+	}
+}
+
+// Guards against requests that change on their way and against dial errors that
+// pass for runs.
+func TestAnswerAndDialError(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	c := service.New()
+	defer c.Close()
+	a, req := &answer{}, request("key-1")
+	is.NoErr(c.Serve(context.Background(), s.Addr(), req, a))
+	is.Equal(a.body.String(), application.Answer(req.Method, req.Path, req.Query, req.Body))
+	is.Equal(a.head.Attempt, req.Attempt)
+	for _, f := range a.head.Header {
+		is.True(f.Name != "Connection")
+	}
+	addr := s.Addr()
+	s.Close()
+	for _, key := range []amaranthtide.IdempotencyKey{"", "key-2"} {
+		err := c.Serve(context.Background(), addr, request(key), &answer{})
+		is.Equal(amaranthtide.KindOf(err), amaranthtide.KindNoBackend)
+	}
+}
