standin/platform, transport/platform, standin/internal/host: platform stand-in and client

Cause: the table, claims and leases need a table service with outages and lost answers. Change: an in-memory platform with faults that change while it runs, and a client with the error kinds of amaranthtide.TableService. A commit is KindPlatformDown only without a connection or with status 429 or 503.

--- /dev/null
+++ b/standin/internal/host/host.go
@@ -0,0 +1,165 @@
+// Package host runs the HTTP server of a stand-in on a loopback address that stays
+// reserved while the server is stopped.
+//
+// # Usage
+//
+//	h, err := host.New(host.Config{Handler: handler})
+//	...
+//	h.Stop()        // connections break, new ones are refused
+//	err = h.Start() // same address
+//	h.Close()       // waits for handlers
+package host
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Config is what a Host needs.
+type Config struct {
+	// Addr is a loopback address; the zero value is 127.0.0.1 with any port.
+	Addr    netip.AddrPort
+	Handler http.Handler
+}
+
+// Host is a running HTTP server. It is concurrent-safe.
+type Host struct {
+	cfg  Config
+	addr netip.AddrPort
+	// reserved is a bound socket that doesn't listen. It keeps other sockets off the
+	// port while the server is stopped.
+	reserved int
+
+	mu       sync.Mutex
+	server   *http.Server
+	closed   bool
+	handlers sync.WaitGroup
+	loops    sync.WaitGroup
+}
+
+// New reserves the address and starts the server.
+func New(cfg Config) (*Host, error) {
+	if !cfg.Addr.IsValid() {
+		cfg.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	}
+	if !cfg.Addr.Addr().Is4() || !cfg.Addr.Addr().IsLoopback() {
+		return nil, fmt.Errorf("address %v is not an IPv4 loopback address", cfg.Addr)
+	}
+	fd, addr, err := reserve(cfg.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("reserve %v: %w", cfg.Addr, err)
+	}
+	h := &Host{cfg: cfg, addr: addr, reserved: fd}
+	if err := h.Start(); err != nil {
+		return nil, errors.Join(err, syscall.Close(fd))
+	}
+	return h, nil
+}
+
+// reserve binds a socket with SO_REUSEADDR, which lets the listening socket bind
+// the same address later.
+func reserve(addr netip.AddrPort) (int, netip.AddrPort, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, addr, err
+	}
+	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()})
+	}
+	var bound syscall.Sockaddr
+	if err == nil {
+		bound, err = syscall.Getsockname(fd)
+	}
+	if err != nil {
+		return 0, addr, errors.Join(err, syscall.Close(fd))
+	}
+	in4, ok := bound.(*syscall.SockaddrInet4)
+	if !ok {
+		return 0, addr, errors.Join(errors.New("socket is not IPv4"), syscall.Close(fd))
+	}
+	return fd, netip.AddrPortFrom(addr.Addr(), uint16(in4.Port)), nil
+}
+
+// Addr returns the address that the server listens on.
+func (h *Host) Addr() netip.AddrPort { return h.addr }
+
+// Start listens again after Stop. It does nothing if the server runs or is closed.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server != nil || h.closed {
+		return nil
+	}
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(h.addr))
+	if err != nil {
+		return err
+	}
+	h.server = &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		// Broken connections are part of what stand-ins do.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	h.loops.Add(1)
+	go h.run(h.server, l)
+	return nil
+}
+
+func (h *Host) run(s *http.Server, l net.Listener) {
+	defer h.loops.Done()
+	_ = s.Serve(l)
+}
+
+// ServeHTTP implements http.Handler. It counts the handlers that Close waits for.
+func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	h.handlers.Add(1)
+	h.mu.Unlock()
+	defer h.handlers.Done()
+	h.cfg.Handler.ServeHTTP(w, r)
+}
+
+// Stop breaks all connections and refuses new ones until Start. It doesn't wait
+// for handlers, so that a handler may call it.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	s := h.server
+	h.server = nil
+	h.mu.Unlock()
+	if s != nil {
+		_ = s.Close()
+	}
+}
+
+// Close stops the server for good and waits for its handlers.
+func (h *Host) Close() {
+	h.mu.Lock()
+	first := !h.closed
+	h.closed = true
+	h.mu.Unlock()
+	h.Stop()
+	h.handlers.Wait()
+	h.loops.Wait()
+	if first {
+		_ = syscall.Close(h.reserved)
+	}
+}
--- /dev/null
+++ b/standin/platform/faults.go
@@ -0,0 +1,151 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"amaranthtide"
+)
+
+// Default rate limits, per second.
+const (
+	DefaultWrites = 500
+	DefaultReads  = 2000
+	// DefaultReservations is the rate of reservations that the weight store grants.
+	DefaultReservations = 2
+)
+
+// burstShare is the part of a second's calls that may come at once.
+const burstShare = 0.2
+
+// Faults are the limits and faults that the platform shows.
+type Faults struct {
+	// WritesPerSecond and ReadsPerSecond bound the calls; 0 is the default.
+	WritesPerSecond float64 `json:"writesPerSecond"`
+	ReadsPerSecond  float64 `json:"readsPerSecond"`
+	// Outage refuses all calls.
+	Outage bool `json:"outage"`
+	// LostBefore and LostAfter are the shares, 0 to 1, of calls whose connection
+	// closes without an answer before or after the call takes effect.
+	LostBefore float64 `json:"lostBefore"`
+	LostAfter  float64 `json:"lostAfter"`
+	// Delay is added to each call before it takes effect.
+	Delay amaranthtide.Duration `json:"delay"`
+}
+
+// Counts are numbers of calls since the start.
+type Counts struct {
+	Reads   int `json:"reads"`
+	Writes  int `json:"writes"`
+	Commits int `json:"commits"`
+	// Conflicts are commits whose conditions did not hold.
+	Conflicts int `json:"conflicts"`
+	// Limited, Refused and Lost are calls above a rate limit, during an outage and
+	// without an answer. They are counted in Reads or Writes, too.
+	Limited int `json:"limited"`
+	Refused int `json:"refused"`
+	Lost    int `json:"lost"`
+}
+
+// SetFaults replaces the faults from the next call on.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.WritesPerSecond <= 0 {
+		f.WritesPerSecond = DefaultWrites
+	}
+	if f.ReadsPerSecond <= 0 {
+		f.ReadsPerSecond = DefaultReads
+	}
+	if f.WritesPerSecond != s.faults.WritesPerSecond {
+		s.writes = newLimiter(f.WritesPerSecond)
+	}
+	if f.ReadsPerSecond != s.faults.ReadsPerSecond {
+		s.reads = newLimiter(f.ReadsPerSecond)
+	}
+	s.faults = f
+}
+
+// Faults returns the present faults.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns the numbers of calls.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstShare)))
+}
+
+// fate is what happens to one call.
+type fate struct {
+	status                int
+	lostBefore, lostAfter bool
+	delay                 time.Duration
+}
+
+func (s *Server) decide(write bool) fate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limiter := s.reads
+	if write {
+		limiter = s.writes
+		s.counts.Writes++
+	} else {
+		s.counts.Reads++
+	}
+	f := fate{delay: time.Duration(s.faults.Delay)}
+	switch {
+	case s.faults.Outage:
+		s.counts.Refused++
+		f.status = http.StatusServiceUnavailable
+	case !limiter.Allow():
+		s.counts.Limited++
+		f.status = http.StatusTooManyRequests
+	default:
+		f.lostBefore = s.random.Float64() < s.faults.LostBefore
+		f.lostAfter = s.random.Float64() < s.faults.LostAfter
+		if f.lostBefore || f.lostAfter {
+			s.counts.Lost++
+		}
+	}
+	return f
+}
+
+// withFaults wraps a handler in the faults. The handler runs against a buffer, so
+// that its answer can be lost after it took effect.
+func (s *Server) withFaults(write bool, handle func(*http.Request) answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.decide(write)
+		if f.delay > 0 {
+			t := time.NewTimer(f.delay)
+			defer t.Stop()
+			select {
+			case <-t.C:
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if f.lostBefore {
+			panic(http.ErrAbortHandler)
+		}
+		if f.status != 0 {
+			w.WriteHeader(f.status)
+			return
+		}
+		a := handle(r)
+		if f.lostAfter {
+			panic(http.ErrAbortHandler)
+		}
+		a.write(w)
+	}
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,284 @@
+package platform
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"amaranthtide"
+	"amaranthtide/protocol/wire"
+	"amaranthtide/standin/internal/host"
+)
+
+const (
+	maxBody = 64 << 20
+	maxList = 1000
+)
+
+// Config is what a Server needs. The zero value is usable.
+type Config struct {
+	// Addr is a loopback address; the zero value is 127.0.0.1 with any port.
+	Addr   netip.AddrPort
+	Faults Faults
+	// VMLag is the time until a change of the VM list is seen.
+	VMLag time.Duration
+	// ReservationsPerSecond is the rate of the weight store; 0 is the default.
+	ReservationsPerSecond float64
+	// Seed seeds the choice of lost answers.
+	Seed uint64
+}
+
+type vmsAt struct {
+	at  time.Time
+	vms []amaranthtide.ListedVM
+}
+
+// Server is a running stand-in. It is concurrent-safe. One mutex guards all of it,
+// since a transaction spans rows.
+type Server struct {
+	cfg  Config
+	host *host.Host
+
+	mu      sync.Mutex
+	faults  Faults
+	counts  Counts
+	random  *rand.Rand
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	weights *rate.Limiter
+	rows    map[amaranthtide.StoredKey]wire.Row
+	// keys are the keys of rows in rising order.
+	keys []amaranthtide.StoredKey
+	// version is the last version given out. Versions are not reused, so that a row
+	// that was deleted and written again differs.
+	version amaranthtide.RowVersion
+	objects map[string][]byte
+	vms     []vmsAt
+}
+
+// New starts a stand-in.
+func New(cfg Config) (*Server, error) {
+	s := &Server{
+		cfg:     cfg,
+		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
+		rows:    make(map[amaranthtide.StoredKey]wire.Row),
+		objects: make(map[string][]byte),
+		weights: rate.NewLimiter(rate.Limit(cmp.Or(cfg.ReservationsPerSecond, DefaultReservations)), 1),
+	}
+	s.SetFaults(cfg.Faults)
+	mux := http.NewServeMux()
+	mux.Handle("POST /table/commit", s.withFaults(true, s.commit))
+	mux.Handle("GET /table/row", s.withFaults(false, s.row))
+	mux.Handle("GET /table/rows", s.withFaults(false, s.list))
+	mux.Handle("PUT /objects", s.withFaults(true, s.putObject))
+	mux.Handle("GET /objects", s.withFaults(false, s.getObject))
+	mux.Handle("GET /vms", s.withFaults(false, s.listVMs))
+	mux.Handle("POST /weights/reservations", s.withFaults(true, s.reserve))
+	mux.HandleFunc("GET /standin/faults", s.getFaults)
+	mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	mux.HandleFunc("GET /standin/counts", s.getCounts)
+	mux.HandleFunc("PUT /standin/vms", s.putVMs)
+	h, err := host.New(host.Config{Addr: cfg.Addr, Handler: mux})
+	if err != nil {
+		return nil, err
+	}
+	s.host = h
+	return s, nil
+}
+
+// Addr returns the address that the stand-in listens on.
+func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
+
+// Close stops the stand-in and waits for its handlers.
+func (s *Server) Close() { s.host.Close() }
+
+// SetVMs replaces the list of VMs. Calls see it after Config.VMLag, the first list
+// at once.
+func (s *Server) SetVMs(vms []amaranthtide.ListedVM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append(s.vms, vmsAt{time.Now(), slices.Clone(vms)})
+}
+
+// answer is the answer to one call.
+type answer struct {
+	status int
+	body   []byte
+}
+
+func (a answer) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
+
+func jsonAnswer(v any) answer {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return answer{http.StatusInternalServerError, []byte(err.Error())}
+	}
+	return answer{http.StatusOK, body}
+}
+
+func badCall(err error) answer { return answer{http.StatusBadRequest, []byte(err.Error())} }
+
+func readBody(r *http.Request) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBody))
+}
+
+func (s *Server) commit(r *http.Request) answer {
+	body, err := readBody(r)
+	if err != nil {
+		return badCall(err)
+	}
+	var t wire.Transaction
+	if err := json.Unmarshal(body, &t); err != nil {
+		return badCall(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			s.counts.Conflicts++
+			return answer{status: http.StatusConflict}
+		}
+	}
+	s.counts.Commits++
+	versions := make([]amaranthtide.RowVersion, len(t.Writes))
+	for i, w := range t.Writes {
+		versions[i] = s.write(t.Token, w)
+	}
+	return jsonAnswer(wire.Committed{Versions: versions})
+}
+
+func (s *Server) write(token amaranthtide.Token, w wire.Write) amaranthtide.RowVersion {
+	i, exists := slices.BinarySearch(s.keys, w.Key)
+	if w.Value == nil {
+		if exists {
+			s.keys = slices.Delete(s.keys, i, i+1)
+			delete(s.rows, w.Key)
+		}
+		return 0
+	}
+	if !exists {
+		s.keys = slices.Insert(s.keys, i, w.Key)
+	}
+	s.version++
+	s.rows[w.Key] = wire.Row{Key: w.Key, Version: s.version, Token: token, Value: w.Value}
+	return s.version
+}
+
+func (s *Server) row(r *http.Request) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.rows[amaranthtide.StoredKey(r.URL.Query().Get("key"))]
+	if !ok {
+		return answer{status: http.StatusNotFound}
+	}
+	return jsonAnswer(row)
+}
+
+func (s *Server) list(r *http.Request) answer {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		return badCall(err)
+	}
+	prefix, after := q.Get("prefix"), amaranthtide.StoredKey(q.Get("after"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := wire.Rows{Rows: []wire.Row{}}
+	i, _ := slices.BinarySearch(s.keys, max(amaranthtide.StoredKey(prefix), after))
+	for ; i < len(s.keys) && len(out.Rows) < min(limit, maxList); i++ {
+		if !strings.HasPrefix(string(s.keys[i]), prefix) {
+			break
+		}
+		if s.keys[i] > after {
+			out.Rows = append(out.Rows, s.rows[s.keys[i]])
+		}
+	}
+	return jsonAnswer(out)
+}
+
+func (s *Server) putObject(r *http.Request) answer {
+	body, err := readBody(r)
+	if err != nil {
+		return badCall(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[r.URL.Query().Get("name")] = body
+	return answer{status: http.StatusNoContent}
+}
+
+func (s *Server) getObject(r *http.Request) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, ok := s.objects[r.URL.Query().Get("name")]
+	if !ok {
+		return answer{status: http.StatusNotFound}
+	}
+	return answer{http.StatusOK, body}
+}
+
+func (s *Server) listVMs(*http.Request) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := time.Now().Add(-s.cfg.VMLag)
+	for len(s.vms) > 1 && !s.vms[1].at.After(seen) {
+		s.vms = s.vms[1:]
+	}
+	out := wire.VMs{VMs: []wire.VM{}}
+	if len(s.vms) > 0 {
+		for _, vm := range s.vms[0].vms {
+			out.VMs = append(out.VMs, wire.VM(vm))
+		}
+	}
+	return jsonAnswer(out)
+}
+
+func (s *Server) reserve(*http.Request) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	wait := s.weights.ReserveN(now, 1).DelayFrom(now)
+	return jsonAnswer(wire.Reservation{Wait: amaranthtide.Duration(wait)})
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) { jsonAnswer(s.Faults()).write(w) }
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) { jsonAnswer(s.Counts()).write(w) }
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	f := s.Faults()
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		badCall(err).write(w)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var in wire.VMs
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		badCall(err).write(w)
+		return
+	}
+	vms := make([]amaranthtide.ListedVM, len(in.VMs))
+	for i, vm := range in.VMs {
+		vms[i] = amaranthtide.ListedVM(vm)
+	}
+	s.SetVMs(vms)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/transport/platform/client.go
@@ -0,0 +1,269 @@
+// Package platform is the client of the platform's table service, object store,
+// list of VMs and weight store.
+//
+// # Usage
+//
+//	c := platform.New(platform.Config{Addr: addr})
+//	defer c.Close()
+//	versions, err := c.Commit(ctx, t)
+//	switch amaranthtide.KindOf(err) {
+//	case amaranthtide.KindConflict:       // a condition did not hold
+//	case amaranthtide.KindPlatformDown:   // surely no effect
+//	case amaranthtide.KindOutcomeUnknown: // read back by token
+//	}
+//
+// Do runs a call that a decision asked for. The HTTP protocol is documented at
+// package standin/platform.
+package platform
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/protocol/wire"
+	"amaranthtide/transport/internal/httpclient"
+)
+
+const (
+	// DefaultTimeout bounds one call.
+	DefaultTimeout = 2 * time.Second
+	maxAnswer      = 64 << 20
+)
+
+// Config is what a Client needs.
+type Config struct {
+	Addr netip.AddrPort
+	// Timeout bounds one call; 0 is DefaultTimeout.
+	Timeout time.Duration
+}
+
+// Client implements amaranthtide.TableService, ObjectStore, VMList and WeightStore.
+// It is concurrent-safe. It makes no second try of its own.
+type Client struct {
+	cfg       Config
+	transport *http.Transport
+}
+
+var (
+	_ amaranthtide.TableService = (*Client)(nil)
+	_ amaranthtide.ObjectStore  = (*Client)(nil)
+	_ amaranthtide.VMList       = (*Client)(nil)
+	_ amaranthtide.WeightStore  = (*Client)(nil)
+)
+
+// New returns a client. It makes no connection.
+func New(cfg Config) *Client {
+	cfg.Timeout = cmp.Or(cfg.Timeout, DefaultTimeout)
+	return &Client{cfg: cfg, transport: httpclient.NewTransport(httpclient.Options{})}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// call is one HTTP call.
+type call struct {
+	method, path string
+	query        url.Values
+	body         []byte
+	// effect tells whether the call changes something, so that it matters whether
+	// it was run.
+	effect bool
+}
+
+// do returns the status and body of an answer with a status below 300, or 404. The
+// errors are those of amaranthtide.TableService.
+func (c *Client) do(ctx context.Context, l call) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	failed := func(connected bool, err error) error {
+		if l.effect && connected {
+			return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "platform: %s %s: %w", l.method, l.path, err)
+		}
+		return amaranthtide.Errorf(amaranthtide.KindPlatformDown, "platform: %s %s: %w", l.method, l.path, err)
+	}
+	req, err := httpclient.NewRequest(ctx, l.method, c.cfg.Addr, l.path, l.query.Encode(), l.body)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, connected, err := httpclient.RoundTrip(c.transport, req)
+	if err != nil {
+		return 0, nil, failed(connected, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := httpclient.ReadWhole(resp, maxAnswer)
+	if err != nil && resp.StatusCode != http.StatusNoContent {
+		return 0, nil, failed(true, err)
+	}
+	switch s := resp.StatusCode; {
+	case s < http.StatusMultipleChoices, s == http.StatusNotFound:
+		return s, body, nil
+	case s == http.StatusConflict:
+		return s, nil, amaranthtide.Errorf(amaranthtide.KindConflict, "platform: %s %s: a condition did not hold", l.method, l.path)
+	case s == http.StatusBadRequest:
+		return s, nil, amaranthtide.Errorf(amaranthtide.KindBadRequest, "platform: %s %s: %s", l.method, l.path, body)
+	case s == http.StatusTooManyRequests, s == http.StatusServiceUnavailable:
+		// The platform promises that these statuses had no effect.
+		return s, nil, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "platform: %s %s: status %d", l.method, l.path, s)
+	default:
+		return s, nil, failed(true, amaranthtide.Errorf(amaranthtide.KindInternal, "status %d", s))
+	}
+}
+
+// decode reads the answer to a call. An answer that can't be read leaves open
+// whether a call with an effect was run.
+func decode[T any](l call, body []byte) (T, error) {
+	var v T
+	if err := json.Unmarshal(body, &v); err != nil {
+		kind := amaranthtide.KindPlatformDown
+		if l.effect {
+			kind = amaranthtide.KindOutcomeUnknown
+		}
+		return v, amaranthtide.Errorf(kind, "platform: answer to %s %s: %w", l.method, l.path, err)
+	}
+	return v, nil
+}
+
+func unexpected(l call, status int) error {
+	kind := amaranthtide.KindPlatformDown
+	if l.effect {
+		kind = amaranthtide.KindOutcomeUnknown
+	}
+	return amaranthtide.Errorf(kind, "platform: %s %s: unexpected status %d", l.method, l.path, status)
+}
+
+// Do runs a call of a decision.
+func (c *Client) Do(ctx context.Context, l amaranthtide.TableCall) amaranthtide.TableResult {
+	var out amaranthtide.TableResult
+	if t, ok := l.Transaction.Get(); ok {
+		out.Versions, out.Err = c.Commit(ctx, t)
+		return out
+	}
+	out.Row, out.Err = c.Get(ctx, l.Key)
+	return out
+}
+
+// Commit implements amaranthtide.TableService.
+func (c *Client) Commit(ctx context.Context, t amaranthtide.Transaction) ([]amaranthtide.RowVersion, error) {
+	body, err := json.Marshal(wire.FromTransaction(t))
+	if err != nil {
+		return nil, amaranthtide.Errorf(amaranthtide.KindBadRequest, "platform: encode transaction: %w", err)
+	}
+	l := call{method: http.MethodPost, path: "/table/commit", body: body, effect: true}
+	status, body, err := c.do(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(l, status)
+	}
+	got, err := decode[wire.Committed](l, body)
+	if err == nil && len(got.Versions) != len(t.Writes) {
+		err = amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "platform: commit answered %d versions, want %d", len(got.Versions), len(t.Writes))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return got.Versions, nil
+}
+
+// Get implements amaranthtide.TableService.
+func (c *Client) Get(ctx context.Context, key amaranthtide.StoredKey) (amaranthtide.Option[amaranthtide.StoredRow], error) {
+	none := amaranthtide.None[amaranthtide.StoredRow]()
+	l := call{method: http.MethodGet, path: "/table/row", query: url.Values{"key": {string(key)}}}
+	status, body, err := c.do(ctx, l)
+	if err != nil || status == http.StatusNotFound {
+		return none, err
+	}
+	row, err := decode[wire.Row](l, body)
+	if err != nil {
+		return none, err
+	}
+	return amaranthtide.Some(amaranthtide.StoredRow(row)), nil
+}
+
+// List implements amaranthtide.TableService. The platform may return fewer rows
+// than limit although there are more; no rows mean that there are none.
+func (c *Client) List(ctx context.Context, prefix, after amaranthtide.StoredKey, limit int) ([]amaranthtide.StoredRow, error) {
+	l := call{method: http.MethodGet, path: "/table/rows", query: url.Values{
+		"prefix": {string(prefix)}, "after": {string(after)}, "limit": {strconv.Itoa(limit)},
+	}}
+	status, body, err := c.do(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(l, status)
+	}
+	got, err := decode[wire.Rows](l, body)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]amaranthtide.StoredRow, len(got.Rows))
+	for i, r := range got.Rows {
+		rows[i] = amaranthtide.StoredRow(r)
+	}
+	return rows, nil
+}
+
+// PutObject implements amaranthtide.ObjectStore.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	l := call{method: http.MethodPut, path: "/objects", query: url.Values{"name": {name}}, body: data, effect: true}
+	status, _, err := c.do(ctx, l)
+	if err == nil && status == http.StatusNotFound {
+		err = unexpected(l, status)
+	}
+	return err
+}
+
+// GetObject implements amaranthtide.ObjectStore.
+func (c *Client) GetObject(ctx context.Context, name string) (amaranthtide.Option[[]byte], error) {
+	l := call{method: http.MethodGet, path: "/objects", query: url.Values{"name": {name}}}
+	status, body, err := c.do(ctx, l)
+	if err != nil || status == http.StatusNotFound {
+		return amaranthtide.None[[]byte](), err
+	}
+	return amaranthtide.Some(body), nil
+}
+
+// ListVMs implements amaranthtide.VMList.
+func (c *Client) ListVMs(ctx context.Context) ([]amaranthtide.ListedVM, error) {
+	l := call{method: http.MethodGet, path: "/vms"}
+	status, body, err := c.do(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(l, status)
+	}
+	got, err := decode[wire.VMs](l, body)
+	if err != nil {
+		return nil, err
+	}
+	vms := make([]amaranthtide.ListedVM, len(got.VMs))
+	for i, vm := range got.VMs {
+		vms[i] = amaranthtide.ListedVM(vm)
+	}
+	return vms, nil
+}
+
+// Reserve implements amaranthtide.WeightStore. After KindOutcomeUnknown the
+// reservation may be taken, which costs time but does no other harm.
+func (c *Client) Reserve(ctx context.Context, model amaranthtide.ModelName) (time.Duration, error) {
+	l := call{method: http.MethodPost, path: "/weights/reservations", query: url.Values{"model": {string(model)}}, effect: true}
+	status, body, err := c.do(ctx, l)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, unexpected(l, status)
+	}
+	got, err := decode[wire.Reservation](l, body)
+	return time.Duration(got.Wait), err
+}
