--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -393,3 +393,26 @@
 	cancel()
 	wg.Wait()
 }
+
+// Guards against an engine queue that ignores the priority of quick work.
+func TestPriorities(t *testing.T) {
+	s, c := start(t, standin.Config{Capacity: 1, TokenInterval: 5 * time.Millisecond})
+	var wg sync.WaitGroup
+	order := make(chan amaranthtide.Class, 3)
+	for i, class := range []amaranthtide.Class{"", amaranthtide.ClassStandard, amaranthtide.ClassQuick} {
+		req := request(true, 20, "q")
+		req.Class = class
+		wg.Go(func() {
+			if err := c.Serve(context.Background(), s.Addr(), req, &answer{}); err != nil {
+				t.Error(err)
+			}
+			order <- class
+		})
+		eventually(t, "admission", func() bool { return s.Counters().Runs == i+1 })
+	}
+	wg.Wait()
+	<-order
+	if got := <-order; got != amaranthtide.ClassQuick {
+		t.Errorf("second got: %s, want: quick", got)
+	}
+}
