transport/platform: test the unreachable platform without idle connections

Cause: TestKindsUnderFaults/unreachable failed in 1 of 8 runs with -race: the commit used an idle connection that the transport had not seen break and was KindOutcomeUnknown, which is true but not what the case is about. Change: the case uses a client that never had a connection; its wanted kinds are the same. Conclusion: the client is right to say outcome unknown there.

--- a/transport/platform/client_test.go
+++ b/transport/platform/client_test.go
@@ -64,6 +64,10 @@
 			s.SetFaults(tt.faults)
 			if tt.killed {
 				s.Close()
+				// A broken idle connection would count as a connection, depending on when
+				// the client sees it break.
+				c = platform.New(platform.Config{Addr: s.Addr()})
+				defer c.Close()
 			}
 			tx := put("a", "1", 0)
 			r := c.Do(ctx, amaranthtide.TableCall{Transaction: amaranthtide.Some(tx)})
