transport/engine: test a stream that ends in order but without its terminal event

Cause: the case of that name closed the connection before the head and so tested something else. Change: two cases, one for each.

--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -211,10 +211,14 @@
 		{"leaving", head(503, "Amaranthtide-Not-Run", "true", "Amaranthtide-Reason", "leaving"), amaranthtide.KindLeaving},
 		{"full", head(503, "Amaranthtide-Not-Run", "true"), amaranthtide.KindFull},
 		{"503 that may have run", head(503), amaranthtide.KindBackendFailed},
-		{"no terminal event", func(w http.ResponseWriter, r *http.Request) {
-			head(200)(w, r.WithContext(r.Context()))
+		{"closed without an answer", func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
 		}, amaranthtide.KindBackendFailed},
+		{"ended without terminal event", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Amaranthtide-Attempt", r.Header.Get("Amaranthtide-Attempt"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: x\n\ndata: [DONE]\n"))
+		}, amaranthtide.KindTruncated},
 		{"unknown length", func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, _ := http.NewResponseController(w).Hijack()
 			_, _ = conn.Write([]byte("HTTP/1.1 400 Bad\r\n\r\nx"))
