--- /dev/null
+++ b/coordination/fairness/radix.go
@@ -0,0 +1,117 @@
+package fairness
+
+import "math/bits"
+
+const radixBuckets = 65
+
+// node is an element of a radix queue; at most one queue holds it at a time.
+type node[T any] struct {
+	key    uint64
+	value  T
+	bucket int
+	index  int
+	in     bool
+}
+
+// radix is a priority queue whose floor only rises. Bucket b holds the keys whose
+// highest bit that differs from the floor is bit b-1. An element only moves to
+// lower buckets until it leaves, so each operation is O(1) amortised, however
+// many elements there are.
+type radix[T any] struct {
+	floor   uint64
+	buckets [radixBuckets][]*node[T]
+	n       int
+}
+
+// insert adds e under the key, which is raised to the floor if it lies below.
+func (r *radix[T]) insert(e *node[T], key uint64) {
+	e.key = max(key, r.floor)
+	e.in = true
+	r.n++
+	r.place(e)
+}
+
+func (r *radix[T]) place(e *node[T]) {
+	e.bucket = bits.Len64(e.key ^ r.floor)
+	e.index = len(r.buckets[e.bucket])
+	r.buckets[e.bucket] = append(r.buckets[e.bucket], e)
+}
+
+// remove takes e out. It does nothing if e is not in the queue.
+func (r *radix[T]) remove(e *node[T]) {
+	if !e.in {
+		return
+	}
+	b := r.buckets[e.bucket]
+	last := len(b) - 1
+	b[e.index] = b[last]
+	b[e.index].index = e.index
+	b[last] = nil
+	r.buckets[e.bucket] = b[:last]
+	e.in = false
+	r.n--
+}
+
+// pop raises the floor to the least key and takes out an element with that key.
+func (r *radix[T]) pop() *node[T] {
+	if r.n == 0 {
+		return nil
+	}
+	if len(r.buckets[0]) == 0 {
+		b := 1
+		for len(r.buckets[b]) == 0 {
+			b++
+		}
+		least := r.buckets[b][0].key
+		for _, e := range r.buckets[b] {
+			least = min(least, e.key)
+		}
+		r.spread(b, least)
+	}
+	e := r.buckets[0][0]
+	r.remove(e)
+	return e
+}
+
+// raise raises the floor to the given key and takes out all elements at or below it.
+func (r *radix[T]) raise(floor uint64) []*node[T] {
+	if floor < r.floor {
+		return nil
+	}
+	// Keys in lower buckets than that of the new floor lie below it, keys in
+	// higher ones above it.
+	top := bits.Len64(floor ^ r.floor)
+	var out []*node[T]
+	for b := range top {
+		out = r.drain(b, out)
+	}
+	r.spread(top, floor)
+	return r.drain(0, out)
+}
+
+func (r *radix[T]) drain(b int, out []*node[T]) []*node[T] {
+	for len(r.buckets[b]) > 0 {
+		e := r.buckets[b][len(r.buckets[b])-1]
+		r.remove(e)
+		out = append(out, e)
+	}
+	return out
+}
+
+// spread sets the floor and moves the elements of bucket b to lower ones.
+// Elements below the floor go to bucket 0.
+func (r *radix[T]) spread(b int, floor uint64) {
+	r.floor = floor
+	if b == 0 {
+		return
+	}
+	moving := r.buckets[b]
+	r.buckets[b] = moving[:0]
+	for i, e := range moving {
+		moving[i] = nil
+		if e.key < floor {
+			e.key = floor
+		}
+		r.place(e)
+	}
+}
