state/load: in-flight counts per model, atomic per model

Conclusion: the ledger can't compute the cap itself, since state imports no coordination; decisions get a View and derive the cap from it.

--- /dev/null
+++ b/state/load/ledger_test.go
@@ -0,0 +1,163 @@
+package load_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/state/load"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func view(l *load.Ledger, now time.Time, model amaranthtide.ModelName, server amaranthtide.BackendServerName) (out load.View) {
+	l.Update(now, model, server, func(v load.View) int {
+		out = v
+		out.Peers = append([]load.Peer(nil), v.Peers...)
+		return v.InFlight
+	})
+	return out
+}
+
+// Guards against two servers of one model that are admitted to from one stale sum.
+func TestUpdateIsAtomicPerModel(t *testing.T) {
+	const workers, room = 8, 1000
+	l := load.New("self")
+	servers := make([]amaranthtide.BackendServerName, workers)
+	for i := range servers {
+		servers[i] = amaranthtide.BackendServerName(fmt.Sprint(i))
+	}
+	l.SetServers("m", servers)
+	var wg sync.WaitGroup
+	for _, s := range servers {
+		wg.Go(func() {
+			for range room {
+				l.Update(start, "m", s, func(v load.View) int {
+					if v.Own < room {
+						return v.InFlight + 1
+					}
+					return v.InFlight
+				})
+			}
+		})
+	}
+	wg.Wait()
+	is.New(t).Equal(view(l, start, "m", servers[0]).Own, room)
+}
+
+// Guards against sums that keep old reports, count servers out of service, or
+// forget external work too early.
+func TestLedgerMatchesReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := load.New("self")
+		now := start
+		all := []amaranthtide.BackendServerName{"a", "b", "c", "d"}
+		models := map[amaranthtide.BackendServerName]amaranthtide.ModelName{"a": "m", "b": "m", "c": "n", "d": "n"}
+		l.SetServers("m", all[:2])
+		l.SetServers("n", all[2:])
+		vms := []amaranthtide.VMName{"self", "v", "w"}
+		own := map[amaranthtide.BackendServerName]int{}
+		out := amaranthtide.NewSet[amaranthtide.BackendServerName]()
+		type applied struct {
+			r     amaranthtide.Report
+			taken time.Time
+		}
+		last := map[amaranthtide.VMName]applied{}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"own": func(t *rapid.T) {
+				s, n := rapid.SampledFrom(all).Draw(t, "server"), rapid.IntRange(0, 5).Draw(t, "n")
+				l.Update(now, models[s], s, func(load.View) int { return n })
+				own[s] = n
+			},
+			"service": func(t *rapid.T) {
+				s := rapid.SampledFrom(all[:2]).Draw(t, "server")
+				if out.Has(s) {
+					out.Remove(s)
+				} else {
+					out.Add(s)
+				}
+				var in []amaranthtide.BackendServerName
+				for _, s := range all[:2] {
+					if !out.Has(s) {
+						in = append(in, s)
+					}
+				}
+				l.SetServers("m", in)
+			},
+			"report": func(t *rapid.T) {
+				r := amaranthtide.Report{VM: rapid.SampledFrom(vms).Draw(t, "vm"), Incarnation: amaranthtide.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")), Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence")}
+				for _, s := range all {
+					if rapid.Bool().Draw(t, "owned") {
+						r.Loads = append(r.Loads, amaranthtide.ServerLoad{Server: s, InFlight: rapid.IntRange(0, 5).Draw(t, "n"), CompletionsPerSecond: 1})
+					}
+				}
+				l.Apply(now, r)
+				if p := last[r.VM].r; r.Incarnation > p.Incarnation || (r.Incarnation == p.Incarnation && r.Sequence > p.Sequence) {
+					last[r.VM] = applied{r, now}
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, s := range all {
+					m := models[s]
+					var wantOwn, wantPeers, wantExternal, wantServers int
+					for _, x := range all {
+						if models[x] != m || out.Has(x) {
+							continue
+						}
+						wantServers++
+						wantOwn += own[x]
+						for _, vm := range vms[1:] {
+							if a := last[vm]; now.Sub(a.taken) <= load.Hold {
+								for _, sl := range a.r.Loads {
+									if sl.Server == x {
+										wantPeers += sl.InFlight
+									}
+								}
+							}
+						}
+					}
+					for _, vm := range vms[1:] {
+						if a := last[vm]; now.Sub(a.taken) <= load.Hold {
+							for _, sl := range a.r.Loads {
+								if sl.Server == s {
+									wantExternal += sl.InFlight
+								}
+							}
+						}
+					}
+					v, peers := view(l, now, m, s), 0
+					for _, p := range v.Peers {
+						peers += p.Sum.InFlight
+					}
+					if v.Own != wantOwn || v.InFlight != own[s] || v.External != wantExternal || v.Servers != wantServers || peers != wantPeers {
+						t.Fatalf("%s got: %+v, peers %d, want: own %d, in flight %d, external %d, servers %d, peers %d", s, v, peers, wantOwn, own[s], wantExternal, wantServers, wantPeers)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against digests that add up with the zone's earlier ones.
+func TestDigestReplacesThoseOfItsZone(t *testing.T) {
+	is := is.New(t)
+	l := load.New("self")
+	l.SetServers("m", []amaranthtide.BackendServerName{"a", "z"})
+	digest := func(from amaranthtide.VMName, sequence uint64, n int) {
+		l.ApplyDigest(start, amaranthtide.Digest{Zone: "far", From: from, Sequence: sequence, Loads: []amaranthtide.ServerLoad{{Server: "z", InFlight: n}}})
+	}
+	digest("v", 5, 4)
+	digest("w", 2, 6)
+	digest("w", 1, 9)
+	v := view(l, start, "m", "a")
+	is.Equal(len(v.Peers), 1)
+	is.Equal(v.Peers[0].Sum.InFlight, 6)
+}
