--- /dev/null
+++ b/coordination/membership/view_test.go
@@ -0,0 +1,404 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/membership"
+)
+
+const (
+	step      = 50 * time.Millisecond
+	interval  = 2 * step
+	suspicion = time.Second
+	grace     = 2 * time.Second
+	tableMax  = 900 * time.Millisecond // under half the grace
+)
+
+var serverNames = []amaranthtide.BackendServerName{"s1", "s2", "s3", "s4"}
+
+// router is one simulated router. Its clock shows offset more than the fleet's.
+type router struct {
+	name        amaranthtide.VMName
+	view        *membership.View
+	offset      time.Duration
+	incarnation amaranthtide.Incarnation
+	sequence    uint64
+	frozen      bool
+	leaving     bool
+	woke        time.Time
+	nextTick    time.Time
+	revision    int
+}
+
+type sent struct {
+	sequence uint64
+	at       time.Time
+}
+
+type mail struct {
+	due    time.Time
+	report amaranthtide.Report
+}
+
+// link is what is on the way from one router to another, and what the assumption on
+// delivery says about it.
+type link struct {
+	queue []mail
+	cut   bool
+	// unproven are the reports of which neither they nor a later one were processed.
+	unproven []sent
+	broken   time.Time
+}
+
+// fleet is a model of the routers of one zone, advanced in steps.
+type fleet struct {
+	now     time.Time
+	routers []*router
+	links   map[[2]int]*link
+	// tables holds for each table revision the VMs out of service and when each
+	// router learns of it.
+	tables []tableRevision
+	lossy  bool
+	// settled counts the settled owners seen, excused the pairs of settled owners
+	// that the assumption doesn't cover.
+	settled, excused int
+}
+
+type tableRevision struct {
+	out amaranthtide.Set[amaranthtide.VMName]
+	due []time.Time
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), links: map[[2]int]*link{}}
+	for i := range n {
+		r := &router{name: amaranthtide.VMName(fmt.Sprintf("vm-%d", i)), offset: time.Duration(i) * time.Hour}
+		f.routers = append(f.routers, r)
+		for j := range n {
+			f.links[[2]int{i, j}] = &link{}
+		}
+	}
+	for i := range f.routers {
+		f.restart(i)
+	}
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	r := f.routers[i]
+	r.incarnation++
+	r.sequence, r.frozen, r.leaving, r.woke, r.nextTick = 0, false, false, f.now, f.now
+	r.view = membership.New(f.clock(r), membership.Config{Self: r.name, Zone: "z"}, interval)
+	for j := range f.routers {
+		f.links[[2]int{j, i}].queue = nil
+		f.links[[2]int{i, j}].unproven = nil
+	}
+	if r.revision > 0 {
+		r.view.SetOutOfService(f.clock(r), amaranthtide.Revision(r.revision), f.tables[r.revision-1].out, false)
+	}
+}
+
+func (f *fleet) clock(r *router) time.Time { return f.now.Add(r.offset) }
+
+func (f *fleet) editTable(t *rapid.T) {
+	out := amaranthtide.NewSet[amaranthtide.VMName]()
+	if n := len(f.tables); n > 0 {
+		for vm := range f.tables[n-1].out {
+			out.Add(vm)
+		}
+	}
+	vm := rapid.SampledFrom(f.routers).Draw(t, "vm").name
+	if out.Has(vm) {
+		out.Remove(vm)
+	} else {
+		out.Add(vm)
+	}
+	rev := tableRevision{out: out}
+	for range f.routers {
+		delay := time.Duration(rapid.IntRange(0, int(tableMax/step)).Draw(t, "tableDelay")) * step
+		rev.due = append(rev.due, f.now.Add(delay))
+	}
+	f.tables = append(f.tables, rev)
+}
+
+// advance runs the fleet for one step.
+func (f *fleet) advance(t *rapid.T) {
+	f.now = f.now.Add(step)
+	for i, r := range f.routers {
+		if r.frozen {
+			continue
+		}
+		for rev := len(f.tables); rev > r.revision; rev-- {
+			if !f.now.Before(f.tables[rev-1].due[i]) {
+				r.revision = rev
+				r.view.SetOutOfService(f.clock(r), amaranthtide.Revision(rev), f.tables[rev-1].out, false)
+			}
+		}
+		f.receive(i)
+		if !f.now.Before(r.nextTick) {
+			f.send(t, i)
+		}
+	}
+	f.judge()
+}
+
+func (f *fleet) receive(i int) {
+	r := f.routers[i]
+	for j := range f.routers {
+		l := f.links[[2]int{j, i}]
+		l.queue = slices.DeleteFunc(l.queue, func(m mail) bool {
+			if m.due.After(f.now) {
+				return false
+			}
+			if r.view.Observe(f.clock(r), m.report) && m.report.Incarnation == f.routers[j].incarnation {
+				l.unproven = slices.DeleteFunc(l.unproven, func(s sent) bool { return s.sequence <= m.report.Sequence })
+			}
+			return true
+		})
+	}
+}
+
+func (f *fleet) send(t *rapid.T, i int) {
+	r := f.routers[i]
+	r.nextTick = f.now.Add(interval)
+	r.view.Tick(f.clock(r), interval)
+	r.sequence++
+	report := amaranthtide.Report{
+		VM: r.name, Zone: "z", Incarnation: r.incarnation, Sequence: r.sequence,
+		View: r.view.Hash(f.clock(r)), Interval: interval, Leaving: r.leaving,
+		Revision: amaranthtide.Revision(r.revision),
+	}
+	for j := range f.routers {
+		l := f.links[[2]int{i, j}]
+		if i == j {
+			continue
+		}
+		l.unproven = append(l.unproven, sent{r.sequence, f.now})
+		if l.cut || f.lossy && rapid.IntRange(0, 2).Draw(t, "lost") == 0 {
+			continue
+		}
+		delay := rapid.IntRange(0, 3).Draw(t, "delay")
+		l.queue = append(l.queue, mail{f.now.Add(time.Duration(delay) * step), report})
+	}
+}
+
+// judge notes on which links the assumption on delivery does not hold.
+func (f *fleet) judge() {
+	for pair, l := range f.links {
+		to := f.routers[pair[1]]
+		if pair[0] == pair[1] || to.frozen || len(l.unproven) == 0 {
+			continue
+		}
+		since := l.unproven[0].at
+		if to.woke.After(since) {
+			since = to.woke
+		}
+		if f.now.Sub(since) > suspicion/2 {
+			l.broken = f.now
+		}
+	}
+}
+
+// within reports whether the assumption has held between two routers for the last
+// suspicion time.
+func (f *fleet) within(i, j int) bool {
+	ij, ji := f.links[[2]int{i, j}], f.links[[2]int{j, i}]
+	return f.now.Sub(ij.broken) > suspicion && f.now.Sub(ji.broken) > suspicion
+}
+
+func (f *fleet) checkSettled(t *rapid.T) {
+	for _, s := range serverNames {
+		var settled []int
+		for i, r := range f.routers {
+			if !r.frozen && r.view.Settled(f.clock(r), s) {
+				settled = append(settled, i)
+			}
+		}
+		f.settled += len(settled)
+		for a, i := range settled {
+			for _, j := range settled[:a] {
+				f.excused++
+				if f.within(i, j) {
+					t.Fatalf("%s got: settled owners %s and %s, want: at most one", s, f.routers[j].name, f.routers[i].name)
+				}
+			}
+		}
+	}
+}
+
+// Guards against two routers that both take the full limit of one server, and
+// against routers that don't agree again after trouble has passed.
+func TestOneSettledOwner(t *testing.T) {
+	settled, excused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(3, 6).Draw(t, "routers"))
+		pick := rapid.IntRange(0, len(f.routers)-1)
+		run := func(t *rapid.T, most int) {
+			for range rapid.IntRange(1, most).Draw(t, "steps") {
+				f.advance(t)
+				f.checkSettled(t)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) { run(t, 50) },
+			"freeze": func(t *rapid.T) {
+				r := f.routers[pick.Draw(t, "router")]
+				r.frozen = true
+				run(t, 50)
+				r.frozen, r.woke = false, f.now
+				f.checkSettled(t) // before the router does anything else
+			},
+			"pauseAround": func(t *rapid.T) { // thaw near the suspicion time
+				r := f.routers[pick.Draw(t, "router")]
+				r.frozen = true
+				for range int(suspicion/step) - rapid.IntRange(0, 4).Draw(t, "less") {
+					f.advance(t)
+					f.checkSettled(t)
+				}
+				r.frozen, r.woke = false, f.now
+				f.checkSettled(t)
+			},
+			"restart": func(t *rapid.T) { f.restart(pick.Draw(t, "router")) },
+			"leave": func(t *rapid.T) {
+				r := f.routers[pick.Draw(t, "router")]
+				if !r.frozen {
+					r.leaving = true
+					r.view.Leave(f.clock(r))
+				}
+			},
+			"cut": func(t *rapid.T) {
+				f.links[[2]int{pick.Draw(t, "from"), pick.Draw(t, "to")}].cut = true
+			},
+			"heal": func(*rapid.T) {
+				for _, l := range f.links {
+					l.cut = false
+				}
+			},
+			"loss":  func(t *rapid.T) { f.lossy = !f.lossy },
+			"table": f.editTable,
+		})
+		f.quiet(t)
+		settled, excused = settled+f.settled, excused+f.excused
+	})
+	t.Logf("%d settled owners seen, %d pairs outside the assumptions", settled, excused)
+}
+
+// quiet ends all trouble and checks that the routers agree.
+func (f *fleet) quiet(t *rapid.T) {
+	f.lossy = false
+	for _, l := range f.links {
+		l.cut = false
+	}
+	// The longest delay of a report and of a table change add to the bound.
+	for range int((suspicion + grace + tableMax + 4*step) / step) {
+		f.advance(t)
+		f.checkSettled(t)
+	}
+	want := f.routers[0].view.Live(f.clock(f.routers[0]))
+	for _, r := range f.routers {
+		if got := r.view.Live(f.clock(r)); !slices.Equal(got, want) {
+			t.Fatalf("%s got: %v, want: %v", r.name, got, want)
+		}
+	}
+	for _, s := range serverNames {
+		owner, ok := f.routers[0].view.Owner(f.clock(f.routers[0]), s)
+		for _, r := range f.routers {
+			if got, _ := r.view.Owner(f.clock(r), s); got != owner || ok != (len(want) > 0) {
+				t.Fatalf("owner of %s at %s got: %q, want: %q", s, r.name, got, owner)
+			}
+			if got := r.view.Settled(f.clock(r), s); got != (ok && owner == r.name) {
+				t.Fatalf("%s at %s got: settled %v, want: only at the owner %s", s, r.name, got, owner)
+			}
+		}
+	}
+}
+
+// Guards against servers that become unsettled though their owner didn't change,
+// and against a frozen router that acts on what it owned before.
+func TestUnsettledOnlyWhatMoved(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := membership.New(now, membership.Config{Self: "a", Zone: "z"}, interval)
+	sequence := uint64(0)
+	tell := func(vm amaranthtide.VMName, live ...amaranthtide.VMName) {
+		sequence++
+		hash := membership.New(now, membership.Config{Self: live[0], Zone: "z"}, interval)
+		for _, l := range live[1:] {
+			hash.Observe(now, amaranthtide.Report{VM: l, Zone: "z", Incarnation: 1, Sequence: 1})
+		}
+		a.Observe(now, amaranthtide.Report{VM: vm, Zone: "z", Incarnation: 1, Sequence: sequence, Interval: interval, View: hash.Hash(now)})
+	}
+	for range 40 {
+		now = now.Add(interval)
+		a.Tick(now, interval)
+		tell("b", "a", "b")
+	}
+	for range 12 { // b dies
+		now = now.Add(interval)
+		a.Tick(now, interval)
+	}
+	is.Equal(a.Live(now), []amaranthtide.VMName{"a"})
+	kept, moved := 0, 0
+	for i := range 50 {
+		if a.Settled(now, amaranthtide.BackendServerName(fmt.Sprint("s", i))) {
+			kept++
+		} else {
+			moved++
+		}
+	}
+	is.True(kept > 10 && moved > 10)
+	for range 20 {
+		now = now.Add(interval)
+		a.Tick(now, interval)
+	}
+	is.True(a.Settled(now, "s1"))
+	is.True(!a.Settled(now.Add(suspicion*6/10), "s1")) // paused
+	now = now.Add(suspicion + step)
+	_, owns := a.Owner(now, "s1")
+	is.True(!owns) // frozen, checked at use
+	a.Tick(now, interval)
+	_, owns = a.Owner(now, "s1")
+	is.True(!owns) // alone since less than the suspicion time
+	for range 11 {
+		now = now.Add(interval)
+		a.Tick(now, interval)
+	}
+	_, owns = a.Owner(now, "s1")
+	is.True(owns)
+	a.SetOutOfService(now, 1, nil, true)
+	_, owns = a.Owner(now, "s1")
+	is.True(!owns)
+}
+
+// Guards against a lagging list that overrides direct reports, and against zones
+// that count as reachable on old digests.
+func TestSourcesOfMembers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := membership.New(now, membership.Config{Self: "a", Zone: "z", Seeds: []amaranthtide.ListedVM{{Name: "b", Zone: "z"}}}, interval)
+	v.List(now, []amaranthtide.ListedVM{{Name: "c", Zone: "z", Leaving: true}, {Name: "y1", Zone: "y"}, {Name: "y2", Zone: "y", Leaving: true}})
+	is.True(v.Observe(now, amaranthtide.Report{VM: "c", Zone: "z", Incarnation: 2, Sequence: 1, Interval: interval}))
+	is.True(!v.Observe(now, amaranthtide.Report{VM: "c", Zone: "z", Incarnation: 1, Sequence: 9, Interval: interval}))
+	is.True(v.Observe(now, amaranthtide.Report{VM: "d", Zone: "z", Incarnation: 1, Sequence: 1, Interval: interval}))
+	is.Equal(v.Live(now), []amaranthtide.VMName{"a", "c", "d"})
+	is.Equal(len(v.Peers(now)), 3)
+	_, ok := v.LiveIn(now, "y")
+	is.True(!ok)
+	is.Equal(v.Contacts(now, "y"), []membership.Peer{{Name: "y1", Zone: "y"}})
+	v.ObserveDigest(now, amaranthtide.Digest{Zone: "y", Live: []amaranthtide.VMName{"y2", "y1"}})
+	live, ok := v.LiveIn(now, "y")
+	is.True(ok)
+	is.Equal(live, []amaranthtide.VMName{"y1", "y2"})
+	is.Equal(len(v.Contacts(now, "y")), 2)
+	_, ok = v.LiveIn(now.Add(membership.DigestLife+1), "y")
+	is.True(!ok)
+	is.Equal(membership.Interval(11, 600, 1500), 4400*time.Millisecond)
+	is.Equal(membership.Interval(1, 100, 1500), 100*time.Millisecond)
+}
--- /dev/null
+++ b/coordination/placement/leastload/policy.go
@@ -0,0 +1,31 @@
+// Package leastload holds a baseline for measurements: power of two choices on
+// reported loads, without regard to the chat.
+//
+// # Usage
+//
+//	var policy amaranthtide.Policy = leastload.Policy{}
+//	ranked := policy.Order(now, chat, candidates)
+package leastload
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"amaranthtide"
+)
+
+// Policy implements amaranthtide.Policy. It is concurrent-safe.
+type Policy struct{}
+
+// Order implements amaranthtide.Policy. The first candidate is the less loaded of
+// two random ones, the second the less loaded of the other and a third random
+// one, and so on. Loads count however old they are; an unknown load counts as 0.
+func (Policy) Order(_ time.Time, _ amaranthtide.ChatID, c []amaranthtide.Candidate) []amaranthtide.Candidate {
+	rand.Shuffle(len(c), func(i, j int) { c[i], c[j] = c[j], c[i] })
+	for i := 0; i+1 < len(c); i++ {
+		if c[i+1].InFlight < c[i].InFlight {
+			c[i], c[i+1] = c[i+1], c[i]
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,211 @@
+// Package placement ranks zones, backend servers and routers by rendezvous
+// hashing, so that all routers compute the same order from the same names without
+// any exchange of messages.
+//
+// Every pair of names gets a score from the xxHash64 values of both names. The
+// order of a chat over some servers is the order of the scores. A server that
+// joins or leaves therefore moves only the chats that rank it first, and a chat
+// that overflows goes to the same second server each time. Zones have weights: the
+// score of a zone is -ln(u)/capacity with u drawn from the hash (the logarithmic
+// method), which gives each zone a share of the chats in proportion to its
+// capacity and moves no chat between two zones whose capacities stay as they are.
+// Equal scores are ordered by name.
+//
+// Only the first Depth servers are put in order: a request makes at most four
+// hops, and a full sort of 500 servers for each request would be wasted. The
+// ranking allocates nothing.
+//
+// Scores of zones use floating point. They are identical on routers of one CPU
+// architecture; between architectures the last bit may differ, which matters only
+// for chats whose two best scores agree in all other bits.
+//
+// # Usage
+//
+//	p := placement.New(placement.Key(req.Workspace, req.Chat))
+//	for _, z := range p.Zones(zones) {
+//		ranked := p.Servers(candidates[z.Name])
+//	}
+//	owner, ok := placement.Owner(server, liveRouters)
+package placement
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthtide"
+)
+
+// Depth is the number of servers that are put in exact order. It covers the four
+// hops of a request in the presence of some that are skipped on the way.
+const Depth = 16
+
+// MaxLoadAge is the age from which a reported load is ignored. It is the age from
+// which the sums of other routers count as 0 in the mean.
+const MaxLoadAge = 2 * time.Second
+
+// Placement ranks for one chat. It is a value that holds the hash of the chat; all
+// methods are concurrent-safe, but they reorder the slices that they are given.
+type Placement struct{ hash uint64 }
+
+// Zone is a zone and its weight.
+type Zone struct {
+	Name amaranthtide.ZoneName
+	// Capacity is the sum of the capacities of the zone's servers in service. A
+	// zone without capacity is ranked behind all others.
+	Capacity int
+}
+
+// Key returns the chat identifier to rank by: the same chat of two workspaces gets
+// different orders, since identifiers such as "default" are common.
+func Key(workspace amaranthtide.WorkspaceName, chat amaranthtide.ChatID) amaranthtide.ChatID {
+	return amaranthtide.ChatID(workspace) + "/" + chat
+}
+
+// New returns the Placement of a chat.
+func New(chat amaranthtide.ChatID) Placement {
+	return Placement{xxhash.Sum64String(string(chat))}
+}
+
+// score returns the score of the pair of two hashes: the finalizer of SplitMix64
+// over their combination.
+func score(a, b uint64) uint64 {
+	x := a ^ b
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Zones sorts the zones, the home zone of the chat first, and returns them.
+func (p Placement) Zones(zones []Zone) []Zone {
+	slices.SortFunc(zones, func(a, b Zone) int {
+		sa, sb := p.zoneScore(a), p.zoneScore(b)
+		switch {
+		case sa < sb:
+			return -1
+		case sa > sb:
+			return 1
+		}
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	return zones
+}
+
+func (p Placement) zoneScore(z Zone) float64 {
+	if z.Capacity <= 0 {
+		return math.Inf(1)
+	}
+	const bits = 53 // of the mantissa of a float64
+	h := score(p.hash, xxhash.Sum64String(string(z.Name))) >> (64 - bits)
+	u := (float64(h) + 0.5) / (1 << bits) // never 0 or 1
+	return -math.Log(u) / float64(z.Capacity)
+}
+
+// Servers reorders the candidates and returns them: the first Depth in the order
+// of the chat, the others behind them in any order.
+func (p Placement) Servers(candidates []amaranthtide.Candidate) []amaranthtide.Candidate {
+	return p.rank(candidates, nil)
+}
+
+// ServersWithRoom is like Servers, but with candidates without room behind those
+// with room. Both groups are in the order of the chat.
+func (p Placement) ServersWithRoom(now time.Time, candidates []amaranthtide.Candidate) []amaranthtide.Candidate {
+	return p.rank(candidates, func(c *amaranthtide.Candidate) bool { return HasRoom(now, *c) })
+}
+
+// HasRoom reports whether the candidate has room as far as is known. A load that
+// is unknown or older than MaxLoadAge is ignored: the candidate then counts as
+// having room, and its owner decides.
+func HasRoom(now time.Time, c amaranthtide.Candidate) bool {
+	return !LoadKnown(now, c) || c.InFlight < c.Limit
+}
+
+// LoadKnown reports whether the load of the candidate is recent enough to be used.
+func LoadKnown(now time.Time, c amaranthtide.Candidate) bool {
+	return !c.LoadTime.IsZero() && now.Sub(c.LoadTime) <= MaxLoadAge
+}
+
+type entry struct {
+	score uint64
+	index int
+	room  bool
+}
+
+// rank selects the best Depth candidates in one pass and moves them to the front.
+func (p Placement) rank(c []amaranthtide.Candidate, room func(*amaranthtide.Candidate) bool) []amaranthtide.Candidate {
+	var best [Depth]entry
+	n := 0
+	for i := range c {
+		e := entry{score(p.hash, xxhash.Sum64String(string(c[i].Server))), i, room == nil || room(&c[i])}
+		if n == Depth && !before(c, e, best[n-1]) {
+			continue
+		}
+		if n < Depth {
+			n++
+		}
+		j := n - 1
+		for ; j > 0 && before(c, e, best[j-1]); j-- {
+			best[j] = best[j-1]
+		}
+		best[j] = e
+	}
+	for i := range n {
+		from := best[i].index
+		c[i], c[from] = c[from], c[i]
+		for j := i + 1; j < n; j++ {
+			if best[j].index == i {
+				best[j].index = from
+			}
+		}
+	}
+	return c
+}
+
+func before(c []amaranthtide.Candidate, a, b entry) bool {
+	if a.room != b.room {
+		return a.room
+	}
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	return c[a.index].Server < c[b.index].Server
+}
+
+// Owner returns the owner of the server among the live routers of its zone, and
+// false if there is none. The order of live doesn't matter.
+func Owner(server amaranthtide.BackendServerName, live []amaranthtide.VMName) (amaranthtide.VMName, bool) {
+	owner, _ := firstTwo(xxhash.Sum64String(string(server)), live)
+	return owner, owner != ""
+}
+
+// Contacts returns the first two live routers in the order of the zone's name, or
+// fewer if there are fewer. They exchange digests with other zones and read the
+// change log.
+func Contacts(zone amaranthtide.ZoneName, live []amaranthtide.VMName) []amaranthtide.VMName {
+	first, second := firstTwo(xxhash.Sum64String(string(zone)), live)
+	switch {
+	case first == "":
+		return nil
+	case second == "":
+		return []amaranthtide.VMName{first}
+	}
+	return []amaranthtide.VMName{first, second}
+}
+
+func firstTwo(hash uint64, live []amaranthtide.VMName) (first, second amaranthtide.VMName) {
+	var s1, s2 uint64
+	for _, vm := range live {
+		s := score(hash, xxhash.Sum64String(string(vm)))
+		switch {
+		case first == "" || s > s1 || s == s1 && vm < first:
+			first, second, s1, s2 = vm, first, s, s1
+		case second == "" || s > s2 || s == s2 && vm < second:
+			second, s2 = vm, s
+		}
+	}
+	return first, second
+}
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,186 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/coordination/placement/leastload"
+	"amaranthtide/coordination/placement/plain"
+	"amaranthtide/coordination/placement/random"
+	"amaranthtide/coordination/placement/rendezvous"
+)
+
+func servers(n int) []amaranthtide.Candidate {
+	c := make([]amaranthtide.Candidate, n)
+	for i := range c {
+		c[i].Server = amaranthtide.BackendServerName(fmt.Sprintf("engine-%d", i))
+	}
+	return c
+}
+
+func chat(i int) amaranthtide.ChatID { return amaranthtide.ChatID(fmt.Sprintf("w/chat-%d", i)) }
+
+// Guards against routers that see the same names in another order and then rank
+// them otherwise.
+func TestOrderIgnoresInputOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := servers(rapid.IntRange(1, 40).Draw(t, "n"))
+		b := rapid.Permutation(a).Draw(t, "permutation")
+		p := placement.New(chat(rapid.Int().Draw(t, "chat")))
+		a, b = p.Servers(a), p.Servers(slices.Clone(b))
+		for i := range min(len(a), placement.Depth) {
+			if a[i] != b[i] {
+				t.Fatalf("rank %d got: %v, want: %v", i, b[i].Server, a[i].Server)
+			}
+		}
+		var live []amaranthtide.VMName
+		for _, c := range a {
+			live = append(live, amaranthtide.VMName(c.Server))
+		}
+		owner, _ := placement.Owner("s", live)
+		contacts := placement.Contacts("z", live)
+		slices.Reverse(live)
+		if got, ok := placement.Owner("s", live); !ok || got != owner {
+			t.Fatalf("owner got: %v, want: %v", got, owner)
+		}
+		if got := placement.Contacts("z", live); !slices.Equal(got, contacts) {
+			t.Fatalf("contacts got: %v, want: %v", got, contacts)
+		}
+	})
+}
+
+// Guards against an order that changes with a release or a process: caches would
+// be lost at each rolling update.
+func TestOrderIsStable(t *testing.T) {
+	is := is.New(t)
+	var got []amaranthtide.BackendServerName
+	for _, c := range placement.New("w/chat").Servers(servers(8))[:3] {
+		got = append(got, c.Server)
+	}
+	is.Equal(got, []amaranthtide.BackendServerName{"engine-0", "engine-4", "engine-7"})
+	_, ok := placement.Owner("s", nil)
+	is.True(!ok)
+	is.Equal(len(placement.Contacts("z", nil)), 0)
+}
+
+// Guards against changes of the fleet that move more chats than they must, and
+// against a second server that depends on who else is there.
+func TestMovedChats(t *testing.T) {
+	const chats = 10_000
+	for _, n := range []int{5, 20, 100} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			moved, second := 0, 0
+			all := servers(n)
+			gone := all[n/2].Server
+			less := slices.DeleteFunc(servers(n), func(c amaranthtide.Candidate) bool { return c.Server == gone })
+			for i := range chats {
+				p := placement.New(chat(i))
+				p.Servers(all)
+				p.Servers(less)
+				if all[0] == less[0] {
+					continue
+				}
+				moved++
+				if all[0].Server != gone || less[0] != all[1] {
+					second++
+				}
+			}
+			fair := float64(chats) / float64(n)
+			t.Logf("moved %d of %d chats, %.2f times the fair share", moved, chats, float64(moved)/fair)
+			if float64(moved) > 1.5*fair || moved == 0 {
+				t.Errorf("got: %d moved, want: 1 to %.0f", moved, 1.5*fair)
+			}
+			if second != 0 {
+				t.Errorf("got: %d chats that moved without need or past their second server, want: 0", second)
+			}
+		})
+	}
+}
+
+// Guards against zones whose share doesn't follow their capacity.
+func TestZonesByCapacity(t *testing.T) {
+	const chats = 10_000
+	home := map[amaranthtide.ZoneName]int{}
+	for i := range chats {
+		zones := []placement.Zone{{Name: "a", Capacity: 100}, {Name: "b", Capacity: 300}, {Name: "c"}}
+		zones = placement.New(chat(i)).Zones(zones)
+		home[zones[0].Name]++
+		if zones[2].Name != "c" {
+			t.Fatalf("got: %v last, want: the zone without capacity", zones[2].Name)
+		}
+	}
+	if got := home["a"]; got < chats*22/100 || got > chats*28/100 {
+		t.Errorf("got: %d chats in the zone of a quarter of the capacity, want: 2200 to 2800", got)
+	}
+}
+
+// Guards against candidates that a policy loses or doubles, and against a full
+// server that goes before one with room.
+func TestPolicies(t *testing.T) {
+	now := time.Unix(1000, 0)
+	policies := []amaranthtide.Policy{rendezvous.Policy{}, random.Policy{}, leastload.Policy{}, plain.Policy{}}
+	rapid.Check(t, func(t *rapid.T) {
+		in := servers(rapid.IntRange(0, 30).Draw(t, "n"))
+		for i := range in {
+			in[i].InFlight, in[i].Limit = rapid.IntRange(0, 3).Draw(t, "inFlight"), 2
+			in[i].LoadTime = now.Add(-time.Duration(rapid.IntRange(0, 4).Draw(t, "age")) * time.Second)
+		}
+		for i, policy := range policies {
+			out := policy.Order(now, "w/c", slices.Clone(in))
+			seen := amaranthtide.NewSet(out...)
+			if len(out) != len(in) || len(seen) != len(in) {
+				t.Fatalf("policy %d got: %d candidates, want: %d", i, len(seen), len(in))
+			}
+		}
+		ranked := policies[0].Order(now, "w/c", slices.Clone(in))
+		want := slices.Clone(policies[3].Order(now, "w/c", slices.Clone(in)))
+		if len(want) > placement.Depth {
+			return
+		}
+		slices.SortStableFunc(want, func(a, b amaranthtide.Candidate) int {
+			return full(now, a) - full(now, b)
+		})
+		if !slices.Equal(ranked, want) {
+			t.Fatalf("got: %v, want: %v", ranked, want)
+		}
+	})
+}
+
+// full is 1 for a server that reported a full load in the last 2 s.
+func full(now time.Time, c amaranthtide.Candidate) int {
+	if c.InFlight >= c.Limit && now.Sub(c.LoadTime) <= 2*time.Second {
+		return 1
+	}
+	return 0
+}
+
+func BenchmarkServers(b *testing.B) {
+	for _, n := range []int{20, 500, 5500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := servers(n)
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				rendezvous.Policy{}.Order(now, "w/chat", c)
+			}
+		})
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	live := make([]amaranthtide.VMName, 70)
+	for i := range live {
+		live[i] = amaranthtide.VMName(fmt.Sprintf("vm-%d", i))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		placement.Owner("engine-1", live)
+	}
+}
--- /dev/null
+++ b/coordination/placement/plain/policy.go
@@ -0,0 +1,24 @@
+// Package plain holds a baseline for measurements: the rendezvous order of the
+// chat without any bound on the load.
+//
+// # Usage
+//
+//	var policy amaranthtide.Policy = plain.Policy{}
+//	ranked := policy.Order(now, chat, candidates)
+package plain
+
+import (
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+)
+
+// Policy implements amaranthtide.Policy. It has no state and is concurrent-safe.
+type Policy struct{}
+
+// Order implements amaranthtide.Policy. The first placement.Depth candidates are
+// in order, the others follow in any order.
+func (Policy) Order(_ time.Time, chat amaranthtide.ChatID, candidates []amaranthtide.Candidate) []amaranthtide.Candidate {
+	return placement.New(chat).Servers(candidates)
+}
--- /dev/null
+++ b/coordination/placement/random/policy.go
@@ -0,0 +1,24 @@
+// Package random holds a baseline for measurements: servers in random order,
+// without regard to chat and load.
+//
+// # Usage
+//
+//	var policy amaranthtide.Policy = random.Policy{}
+//	ranked := policy.Order(now, chat, candidates)
+package random
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"amaranthtide"
+)
+
+// Policy implements amaranthtide.Policy. It is concurrent-safe.
+type Policy struct{}
+
+// Order implements amaranthtide.Policy.
+func (Policy) Order(_ time.Time, _ amaranthtide.ChatID, c []amaranthtide.Candidate) []amaranthtide.Candidate {
+	rand.Shuffle(len(c), func(i, j int) { c[i], c[j] = c[j], c[i] })
+	return c
+}
--- /dev/null
+++ b/coordination/placement/rendezvous/policy.go
@@ -0,0 +1,25 @@
+// Package rendezvous holds the policy of the fleet: the rendezvous order of the
+// chat, with servers without known room behind those with room. A load older than
+// placement.MaxLoadAge is ignored, so that its server keeps its place.
+//
+// # Usage
+//
+//	var policy amaranthtide.Policy = rendezvous.Policy{}
+//	ranked := policy.Order(now, chat, candidates)
+package rendezvous
+
+import (
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+)
+
+// Policy implements amaranthtide.Policy. It has no state and is concurrent-safe.
+type Policy struct{}
+
+// Order implements amaranthtide.Policy. The first placement.Depth candidates are
+// in order, the others follow in any order.
+func (Policy) Order(now time.Time, chat amaranthtide.ChatID, candidates []amaranthtide.Candidate) []amaranthtide.Candidate {
+	return placement.New(chat).ServersWithRoom(now, candidates)
+}
--- /dev/null
+++ b/coordination/quota/limiter_test.go
@@ -0,0 +1,69 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/quota"
+)
+
+// Guards against a router that passes more than its share: in any time from the
+// start on at most rate*time plus one second's allowance, and never more in flight
+// than its share.
+func TestShareIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		live := rapid.IntRange(1, 12).Draw(t, "live")
+		w := amaranthtide.Workspace{
+			MaxInFlight:       rapid.IntRange(0, 30).Draw(t, "maxInFlight"),
+			RequestsPerSecond: float64(rapid.IntRange(0, 60).Draw(t, "requestsPerSecond")),
+		}
+		var l quota.Limiter
+		admitted, inFlight := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "millis")) * time.Millisecond)
+			},
+			"release": func(*rapid.T) {
+				if inFlight > 0 {
+					inFlight--
+					l.Release()
+				}
+			},
+			"admit": func(t *rapid.T) {
+				for range 5 {
+					err := l.Admit(now, w, live)
+					if err == nil {
+						admitted++
+						inFlight++
+					} else if !amaranthtide.IsKind(err, amaranthtide.KindLimitReached) || amaranthtide.RetryAfterOf(err) <= 0 {
+						t.Fatalf("got: %v, want: KindLimitReached with a hint", err)
+					}
+				}
+				share := max(w.RequestsPerSecond/float64(live), 1)
+				if most := share*now.Sub(start).Seconds() + share + 1; w.RequestsPerSecond > 0 && float64(admitted) > most {
+					t.Fatalf("got: %d admitted, want: at most %.1f", admitted, most)
+				}
+				if w.MaxInFlight > 0 && inFlight > max(w.MaxInFlight/live, 1) || l.InFlight() != inFlight {
+					t.Fatalf("got: %d in flight, want: at most %d", inFlight, max(w.MaxInFlight/live, 1))
+				}
+			},
+		})
+	})
+}
+
+// Guards against a first burst other than one second's allowance.
+func TestStartsWithOneSecond(t *testing.T) {
+	var l quota.Limiter
+	now, n := time.Unix(1000, 0), 0
+	for l.Admit(now, amaranthtide.Workspace{RequestsPerSecond: 40}, 4) == nil {
+		n++
+	}
+	if n != 10 {
+		t.Errorf("got: %d, want: 10", n)
+	}
+}
--- /dev/null
+++ b/coordination/route/plan_test.go
@@ -0,0 +1,235 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement/rendezvous"
+	"amaranthtide/coordination/retry"
+	"amaranthtide/coordination/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func zones(sizes ...int) []route.Zone {
+	var zs []route.Zone
+	for i, n := range sizes {
+		z := route.Zone{Name: amaranthtide.ZoneName(fmt.Sprintf("z%d", i))}
+		for j := range n {
+			name := amaranthtide.BackendServerName(fmt.Sprintf("s%d-%d", i, j))
+			z.Candidates = append(z.Candidates, amaranthtide.Candidate{Server: name, Zone: z.Name, Limit: 4, LoadTime: start})
+		}
+		zs = append(zs, z)
+	}
+	return zs
+}
+
+func config(key amaranthtide.IdempotencyKey, zs []route.Zone) route.Config {
+	return route.Config{
+		Request: &amaranthtide.Request{Workspace: "w", Chat: "c", Key: key, Deadline: start.Add(time.Minute)},
+		Zones:   zs, Policy: rendezvous.Policy{},
+		InService: func(amaranthtide.ZoneName, amaranthtide.BackendServerName) bool { return true },
+		Retry:     func() bool { return true },
+	}
+}
+
+// Guards, at plan level, against every broken promise of a retry: work for a zone
+// or server out of service (P3, P7), a final error that lies about what ran (P5), a
+// second run of what may not be repeated (P6), a server tried after it failed, a
+// re-run after something was shown, and requests that never end.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zs := zones(rapid.IntRange(0, 6).Draw(t, "n0"), rapid.IntRange(0, 3).Draw(t, "n1"), 2)
+		for _, z := range zs {
+			for j := range z.Candidates {
+				z.Candidates[j].InFlight = rapid.IntRange(0, 6).Draw(t, "inFlight")
+			}
+		}
+		out := amaranthtide.NewSet[amaranthtide.BackendServerName]()
+		zoneOut := amaranthtide.NewSet[amaranthtide.ZoneName]()
+		cfg := config(amaranthtide.IdempotencyKey(rapid.SampledFrom([]string{"", "k"}).Draw(t, "key")), zs)
+		cfg.InService = func(z amaranthtide.ZoneName, s amaranthtide.BackendServerName) bool {
+			return !zoneOut.Has(z) && !out.Has(s)
+		}
+		budget := 0
+		cfg.Retry = func() bool {
+			got := rapid.Bool().Draw(t, "retry")
+			if got {
+				budget++
+			}
+			return got
+		}
+		p := route.New(cfg)
+		now := start
+		failed := amaranthtide.NewSet[amaranthtide.BackendServerName]()
+		ran, attempts, last, mustEnd := amaranthtide.RanNo, 0, route.Target{}, false
+		for hop := 0; ; hop++ {
+			for _, z := range zs {
+				if rapid.IntRange(0, 9).Draw(t, "zoneChanges") == 0 {
+					zoneOut.Add(z.Name)
+				}
+				for _, c := range z.Candidates {
+					if rapid.IntRange(0, 9).Draw(t, "serverChanges") == 0 {
+						out.Add(c.Server)
+					}
+				}
+			}
+			target, err := p.Next(now)
+			if err != nil {
+				if got := amaranthtide.KindOf(err).Reply().Ran; got != ran {
+					t.Fatalf("final error %v got: ran %v, want: %v", err, got, ran)
+				}
+				if _, again := p.Next(now); again != err {
+					t.Fatalf("got: %v after the final %v, want: the same", again, err)
+				}
+				return
+			}
+			switch {
+			case mustEnd:
+				t.Fatalf("got: target %v after a failure that ends the request", target)
+			case hop >= 4:
+				t.Fatalf("got: hop %d, want: at most 4", hop+1)
+			case zoneOut.Has(target.Zone) || out.Has(target.Server):
+				t.Fatalf("got: %v, want: a server and zone in service", target)
+			case failed.Has(target.Server):
+				t.Fatalf("got: %v, want: no server that failed", target)
+			case hop == 3 && !target.MayQueue:
+				t.Fatalf("got: %v at the last hop, want: one that may queue", target)
+			case !now.Before(cfg.Request.Deadline):
+				t.Fatalf("got: %v, want: nothing after the deadline", target)
+			case attempts > budget:
+				t.Fatalf("got: %d attempts failed, want: at most the %d retries taken", attempts, budget)
+			}
+			last = target
+			now = now.Add(time.Duration(rapid.IntRange(0, 25).Draw(t, "seconds")) * time.Second)
+			if rapid.Bool().Draw(t, "refused") {
+				kind := rapid.SampledFrom([]amaranthtide.Kind{
+					amaranthtide.KindFull, amaranthtide.KindNotOwner, amaranthtide.KindZoneOut, amaranthtide.KindLeaving,
+					amaranthtide.KindDeadlineUnmet, amaranthtide.KindPlatformDown, amaranthtide.KindKeyReused,
+				}).Draw(t, "refusal")
+				if kind == amaranthtide.KindLeaving || kind == amaranthtide.KindKeyReused {
+					failed.Add(last.Server)
+				}
+				mustEnd = kind == amaranthtide.KindKeyReused
+				better := amaranthtide.None[amaranthtide.VMName]()
+				if rapid.Bool().Draw(t, "better") {
+					better = amaranthtide.Some[amaranthtide.VMName]("vm")
+				}
+				p.Refused(now, amaranthtide.Errorf(kind, "refused"), better)
+				continue
+			}
+			kind := rapid.SampledFrom(amaranthtide.Kinds()).Draw(t, "failure")
+			shown := rapid.Bool().Draw(t, "shown")
+			this := kind.Reply().Ran
+			if shown && this == amaranthtide.RanNo {
+				this = amaranthtide.RanYes // something was shown, so it ran
+			}
+			if cfg.Request.Key != "" && this != amaranthtide.RanNo {
+				this, mustEnd = amaranthtide.RanUnknown, true
+			}
+			mustEnd = mustEnd || shown
+			if this == amaranthtide.RanYes || ran == amaranthtide.RanNo {
+				ran = this
+			}
+			failed.Add(last.Server)
+			attempts++
+			p.Failed(now, amaranthtide.Errorf(kind, "failed"), shown)
+		}
+	})
+}
+
+// Guards against overflow that leaves the chat's order, a spill while the home zone
+// has room, and a queue other than the shortest of the first four.
+func TestOverflowOrder(t *testing.T) {
+	is := is.New(t)
+	zs := zones(6, 2)
+	order := rendezvous.Policy{}.Order(start, "w/c", zones(6)[0].Candidates)
+	refuse := func(p *route.Plan) route.Target {
+		target, err := p.Next(start)
+		is.NoErr(err)
+		p.Refused(start, amaranthtide.Errorf(amaranthtide.KindFull, "full"), amaranthtide.None[amaranthtide.VMName]())
+		return target
+	}
+	p := route.New(config("", zs))
+	for i := range 3 {
+		is.Equal(refuse(p), route.Target{Zone: "z0", Server: order[i].Server})
+	}
+	is.Equal(refuse(p).MayQueue, true)
+	_, err := p.Next(start)
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindFull))
+
+	load := func(zs []route.Zone, inFlight map[amaranthtide.BackendServerName]int) []route.Zone {
+		for _, z := range zs {
+			for i := range z.Candidates {
+				z.Candidates[i].InFlight = 8
+				if n, ok := inFlight[z.Candidates[i].Server]; ok {
+					z.Candidates[i].InFlight = n
+				}
+			}
+		}
+		return zs
+	}
+	p = route.New(config("", load(zones(6, 2), map[amaranthtide.BackendServerName]int{"s1-0": 3})))
+	is.Equal(refuse(p), route.Target{Zone: "z1", Server: "s1-0"}) // home zone full: spill
+	p = route.New(config("", load(zones(6, 2), map[amaranthtide.BackendServerName]int{
+		order[2].Server: 5, order[3].Server: 6, order[4].Server: 4,
+	})))
+	is.Equal(refuse(p), route.Target{Zone: "z0", Server: order[2].Server, MayQueue: true})
+}
+
+// P12. Guards against more than 1.2 attempts per request while a third of the
+// servers fail, also at small request counts after a start.
+func TestAttemptsUnderFailures(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		var b retry.Budget
+		attempts, retried := 0, 0
+		for request := 1; request <= 500; request++ {
+			b.Earn()
+			cfg := config("", zones(6, 3))
+			cfg.Request.Chat = amaranthtide.ChatID(fmt.Sprint(request))
+			cfg.Retry = b.Take
+			p := route.New(cfg)
+			for {
+				target, err := p.Next(start)
+				if err != nil {
+					break
+				}
+				attempts++
+				if n := target.Server[len(target.Server)-1] - '0'; n%3 != 0 && random.IntN(20) > 0 {
+					break
+				}
+				retried++
+				p.Failed(start, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "failed"), false)
+			}
+			if float64(attempts) >= 1.2*float64(request) {
+				t.Fatalf("got: %d attempts for %d requests, want: under 1.2 times", attempts, request)
+			}
+		}
+		if retried < 100 {
+			t.Fatalf("got: %d failures, want: at least 100, else the test shows nothing", retried)
+		}
+	})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{20, 500, 5500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			cfg := config("", zones(n, 2))
+			full := amaranthtide.Errorf(amaranthtide.KindFull, "full")
+			b.ReportAllocs()
+			for b.Loop() {
+				p := route.New(cfg)
+				_, _ = p.Next(start)
+				p.Refused(start, full, amaranthtide.None[amaranthtide.VMName]())
+				_, _ = p.Next(start)
+			}
+		})
+	}
+}
