state/table: configuration table of a router

Change: Table with rows in shards, an immutable index for servers, VMs and zones, a log of 4096 recent changes and a wait for a revision.

--- /dev/null
+++ b/state/table/log.go
@@ -0,0 +1,43 @@
+package table
+
+import "amaranthtide"
+
+// logSize is the number of recent changes that a router can pass on. At 28,000
+// changes a day it spans more than three hours; a peer that is further behind
+// loads a snapshot.
+const logSize = 4096
+
+// recentLog is a ring of the last changes. The entries have consecutive revisions.
+type recentLog struct {
+	ring []amaranthtide.Change
+	// start is the revision before the first entry since the last reset.
+	start amaranthtide.Revision
+	last  amaranthtide.Revision
+}
+
+func (l *recentLog) reset(at amaranthtide.Revision) { *l = recentLog{start: at, last: at} }
+
+func (l *recentLog) add(c amaranthtide.Change) {
+	l.last = c.Revision
+	if len(l.ring) < logSize {
+		l.ring = append(l.ring, c)
+		return
+	}
+	l.ring[l.slot(c.Revision)] = c
+}
+
+func (l *recentLog) slot(r amaranthtide.Revision) int { return int((r - l.start - 1) % logSize) }
+
+func (l *recentLog) after(r amaranthtide.Revision, limit int) ([]amaranthtide.Change, bool) {
+	if r+amaranthtide.Revision(len(l.ring)) < l.last {
+		return nil, false
+	}
+	if r >= l.last || limit <= 0 {
+		return nil, true
+	}
+	changes := make([]amaranthtide.Change, min(int(l.last-r), limit))
+	for i := range changes {
+		changes[i] = l.ring[l.slot(r+1+amaranthtide.Revision(i))]
+	}
+	return changes, true
+}
--- /dev/null
+++ b/state/table/table.go
@@ -0,0 +1,240 @@
+// Package table holds a router's copy of the configuration table: the rows, the
+// revision that they have reached and the most recent changes.
+//
+// Changes arrive out of order, twice and from several senders: pushed by peers,
+// read from the log and loaded as snapshots. A Table takes each change exactly
+// once and in the order of revisions, so that a reader never sees a row go back
+// to an older content.
+//
+// Workspaces, models and routes, which requests look up by name, are kept in
+// shards, each under its own lock. Backend servers, VMs and zones, which are
+// listed by group, are kept in an immutable index that is replaced as a whole;
+// readers of the index take no lock. Each row is in exactly one of the two, so
+// that no reader finds a newer content in one and an older one in the other.
+//
+// # Usage
+//
+//	t := table.New()
+//	t.Load(rows, revision)
+//	if _, gap := t.Apply(changes); gap {
+//		// Ask a peer or the log for the changes after t.Revision().
+//	}
+//	w, ok := t.Workspace("small-club")
+//	for _, r := range t.ServersOfModel("large", "north-a") {
+//		server := r.Value.(amaranthtide.BackendServer)
+//	}
+//
+// Slices that a Table returns are shared and must not be modified, unless the
+// method says otherwise.
+package table
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"amaranthtide"
+	"amaranthtide/state/shard"
+)
+
+// Table is the configuration table in a router. It is concurrent-safe. Use New.
+type Table struct {
+	// writer serializes Apply and Load and guards the log.
+	writer  sync.Mutex
+	log     recentLog
+	changed chan struct{}
+
+	revision atomic.Uint64
+	content  atomic.Pointer[content]
+}
+
+// content is replaced as a whole by Load and modified in place by Apply.
+type content struct {
+	named *shard.Map[amaranthtide.RowKey, amaranthtide.Row]
+	index atomic.Pointer[index]
+}
+
+func newContent() *content {
+	c := &content{named: shard.New[amaranthtide.RowKey, amaranthtide.Row]()}
+	c.index.Store(newIndex(nil))
+	return c
+}
+
+// New returns an empty Table at revision 0.
+func New() *Table {
+	t := &Table{changed: make(chan struct{})}
+	t.content.Store(newContent())
+	return t
+}
+
+// Apply takes changes in the order of rising revisions. It ignores those that
+// the table already has and stops at the first one that does not follow the
+// table's revision; gap is then true. It returns the number of changes taken.
+func (t *Table) Apply(changes []amaranthtide.Change) (applied int, gap bool) {
+	t.writer.Lock()
+	defer t.writer.Unlock()
+	at := amaranthtide.Revision(t.revision.Load())
+	fresh := changes[:0:0]
+	for _, c := range changes {
+		if c.Revision <= at {
+			continue
+		}
+		if c.Revision != at+1 {
+			gap = true
+			break
+		}
+		fresh = append(fresh, c)
+		at = c.Revision
+	}
+	if len(fresh) == 0 {
+		return 0, gap
+	}
+	t.content.Load().apply(fresh)
+	for _, c := range fresh {
+		t.log.add(c)
+	}
+	t.advance(at)
+	return len(fresh), gap
+}
+
+func (c *content) apply(changes []amaranthtide.Change) {
+	var grouped []amaranthtide.Change
+	for _, ch := range changes {
+		switch {
+		case indexed(ch.Key.Kind):
+			grouped = append(grouped, ch)
+		case ch.After == nil:
+			c.named.Delete(ch.Key)
+		default:
+			c.named.Set(ch.Key, amaranthtide.Row{Key: ch.Key, Revision: ch.Revision, Value: ch.After})
+		}
+	}
+	if len(grouped) > 0 {
+		c.index.Store(c.index.Load().with(grouped))
+	}
+}
+
+// Load replaces all rows by a snapshot of the given revision. It does nothing
+// and returns false unless the snapshot is newer than the table. The recent log
+// begins anew after that revision.
+func (t *Table) Load(rows []amaranthtide.Row, revision amaranthtide.Revision) bool {
+	next := newContent()
+	var grouped []amaranthtide.Row
+	for _, r := range rows {
+		if indexed(r.Key.Kind) {
+			grouped = append(grouped, r)
+			continue
+		}
+		next.named.Set(r.Key, r)
+	}
+	next.index.Store(newIndex(grouped))
+
+	t.writer.Lock()
+	defer t.writer.Unlock()
+	if revision <= amaranthtide.Revision(t.revision.Load()) {
+		return false
+	}
+	t.content.Store(next)
+	t.log.reset(revision)
+	t.advance(revision)
+	return true
+}
+
+// advance publishes a revision after the rows are in place, so that a reader who
+// sees the revision also sees its rows.
+func (t *Table) advance(revision amaranthtide.Revision) {
+	t.revision.Store(uint64(revision))
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Revision returns the revision that the table has reached.
+func (t *Table) Revision() amaranthtide.Revision {
+	return amaranthtide.Revision(t.revision.Load())
+}
+
+// Changed returns a channel that is closed at the next change of the table. Take
+// the channel before looking at the table, so that no change is missed.
+func (t *Table) Changed() <-chan struct{} {
+	t.writer.Lock()
+	defer t.writer.Unlock()
+	return t.changed
+}
+
+// Wait blocks until the table has reached the revision or ctx is done; it then
+// returns the error of ctx.
+func (t *Table) Wait(ctx context.Context, revision amaranthtide.Revision) error {
+	for {
+		changed := t.Changed()
+		if t.Revision() >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Changes returns up to limit changes after a revision, in order. ok is false if
+// the recent log no longer reaches back that far; the asker then needs a
+// snapshot. The slice is the caller's own.
+func (t *Table) Changes(after amaranthtide.Revision, limit int) (changes []amaranthtide.Change, ok bool) {
+	t.writer.Lock()
+	defer t.writer.Unlock()
+	return t.log.after(after, limit)
+}
+
+// Snapshot returns all rows, ordered by kind and name, and the revision that
+// they belong to. The slice is the caller's own. It holds off writers, but not
+// readers, for the time of the copy.
+func (t *Table) Snapshot() ([]amaranthtide.Row, amaranthtide.Revision) {
+	t.writer.Lock()
+	defer t.writer.Unlock()
+	var rows []amaranthtide.Row
+	for _, kind := range amaranthtide.RowKinds() {
+		rows = append(rows, t.Rows(kind)...)
+	}
+	return rows, amaranthtide.Revision(t.revision.Load())
+}
+
+// Rows returns the rows of a kind, ordered by name. The slice is the caller's
+// own. Changes that arrive meanwhile may or may not be included; use Snapshot
+// for rows of one revision.
+func (t *Table) Rows(kind amaranthtide.RowKind) []amaranthtide.Row {
+	c := t.content.Load()
+	var rows []amaranthtide.Row
+	if indexed(kind) {
+		for key, r := range c.index.Load().rows {
+			if key.Kind == kind {
+				rows = append(rows, r)
+			}
+		}
+	} else {
+		c.named.Range(func(key amaranthtide.RowKey, r amaranthtide.Row) bool {
+			if key.Kind == kind {
+				rows = append(rows, r)
+			}
+			return true
+		})
+	}
+	sortByName(rows)
+	return rows
+}
+
+// Row returns a row with its revision, and whether there is one.
+func (t *Table) Row(key amaranthtide.RowKey) (amaranthtide.Row, bool) {
+	c := t.content.Load()
+	if indexed(key.Kind) {
+		r, ok := c.index.Load().rows[key]
+		return r, ok
+	}
+	return c.named.Get(key)
+}
+
+func sortByName(rows []amaranthtide.Row) {
+	slices.SortFunc(rows, func(a, b amaranthtide.Row) int { return cmp.Compare(a.Key.Name, b.Key.Name) })
+}
