coordination: change, spread, claim, lease and order: decisions over the table service

Cause: what must be agreed on or must last lives in the platform's table service; the decisions around it need a form that can be tested step by step. Change: state machines that return the next call and take its outcome: batches of edits, the spread of the table, at-most-once claims, the lease of a zone and orders to engines.

--- /dev/null
+++ b/coordination/claim/finish.go
@@ -0,0 +1,136 @@
+package claim
+
+import (
+	"time"
+
+	"amaranthtide"
+)
+
+// sent takes the outcome of the send and begins the follow-up.
+func (c *Claim) sent(now time.Time, o Outcome) Step {
+	if o.Refused {
+		return c.release(now, refusal(amaranthtide.KindDeadlineUnmet, "the deadline passed before the request was sent"))
+	}
+	if o.Err != nil {
+		kind := amaranthtide.KindOf(o.Err)
+		if kind.Reply().Ran == amaranthtide.RanNo {
+			return c.release(now, Reply{Err: o.Err})
+		}
+		if kind.Reply().Ran == amaranthtide.RanUnknown {
+			// A repeat of a canceled request was not canceled itself.
+			kind = amaranthtide.KindOutcomeUnknown
+		}
+		return c.finish(now, Reply{Err: o.Err}, record{Failure: kind.String()})
+	}
+	c.body = o.Answer.Body
+	stored := encodeAnswer(o.Answer)
+	if len(c.body) > MaxInline {
+		// The token keeps apart the answers of two attempts, of which an earlier
+		// one was swept.
+		stored.Body, stored.Object = nil, string(c.key)+"/"+string(c.cfg.Token)
+	}
+	return c.finish(now, Reply{Answer: o.Answer}, record{Answer: stored})
+}
+
+// finish writes `done`. The caller has its reply meanwhile.
+func (c *Claim) finish(now time.Time, reply Reply, result record) Step {
+	c.final = c.record(now, done)
+	c.final.Answer, c.final.Failure = result.Answer, result.Failure
+	c.beginFollowUp(now)
+	var step Step
+	if a := c.final.Answer; a != nil && a.Object != "" {
+		c.phase = storingObject
+		step = Step{Do: PutObject, Object: a.Object, Data: c.body}
+	} else {
+		step = c.writeFinal(finishing, c.current)
+	}
+	step.Reply = amaranthtide.Some(reply)
+	return step
+}
+
+// objectStored goes on to write `done`, which must not name an object that may
+// be missing. If the object can't be stored until the follow-up ends, `done` is
+// written without the answer: repeats are then told that the request was run and
+// that its answer is lost. Until then they are told that the outcome is unknown.
+func (c *Claim) objectStored(now time.Time, err error) Step {
+	if err != nil && !c.overdue(now) {
+		return Step{Do: PutObject, Object: c.final.Answer.Object, Data: c.body, Wait: c.pause()}
+	}
+	c.body = nil
+	if err != nil {
+		c.final.Answer, c.final.Failure = nil, amaranthtide.KindTruncated.String()
+		// The table service may well be up; it gets a time of its own.
+		c.beginFollowUp(now)
+	}
+	return c.writeFinal(finishing, c.current)
+}
+
+// release writes `released`: the request was not sent and will not be. If the
+// write of `dispatched` is unsure, `released` takes its place on the same
+// condition, so that the late write fails.
+func (c *Claim) release(now time.Time, reply Reply) Step {
+	c.final = c.record(now, released)
+	c.beginFollowUp(now)
+	version := c.current
+	if c.unsure {
+		version = c.base
+	}
+	step := c.writeFinal(releasing, version)
+	step.Reply = amaranthtide.Some(reply)
+	return step
+}
+
+func (c *Claim) beginFollowUp(now time.Time) {
+	c.followUp, c.backoff, c.waitNext = now, backoffMin, 0
+}
+
+func (c *Claim) overdue(now time.Time) bool { return now.Sub(c.followUp) > c.cfg.FollowUp }
+
+func (c *Claim) writeFinal(p phase, version amaranthtide.RowVersion) Step {
+	tx, err := c.transaction(c.cfg.Token+"-"+amaranthtide.Token(c.final.State), version, c.final)
+	if err != nil {
+		c.phase = ended
+		return Step{Do: End}
+	}
+	c.phase, c.tx = p, tx
+	return c.commit()
+}
+
+func (c *Claim) finalWritten(now time.Time, r amaranthtide.TableResult) Step {
+	if r.Err == nil {
+		c.phase = ended
+		return Step{Do: End}
+	}
+	if c.overdue(now) {
+		// The row stays `dispatched`: repeats are told that the outcome is unknown.
+		c.phase = ended
+		return Step{Do: End}
+	}
+	c.phase++ // finishing -> checkingFinish, releasing -> checkingRelease
+	c.waitNext = c.pause()
+	return c.get()
+}
+
+// finalChecked reads the row back and writes again unless the write has taken
+// effect or the row belongs to somebody else by now.
+func (c *Claim) finalChecked(now time.Time, r amaranthtide.TableResult) Step {
+	if r.Err != nil {
+		if c.overdue(now) {
+			c.phase = ended
+			return Step{Do: End}
+		}
+		c.waitNext = c.pause()
+		return c.get()
+	}
+	row, ok := r.Row.Get()
+	if c.phase == checkingRelease && row.Version == c.base {
+		// Neither the late `dispatched` nor `released` has landed.
+		return c.writeFinal(releasing, c.base)
+	}
+	rec, err := decode(row)
+	if !ok || err != nil || rec.Token != c.cfg.Token || rec.State != dispatched {
+		c.phase = ended
+		return Step{Do: End}
+	}
+	return c.writeFinal(c.phase-1, row.Version)
+}
--- /dev/null
+++ b/coordination/spread/reader.go
@@ -0,0 +1,215 @@
+// Package spread decides how the configuration table reaches a router: from
+// peers, from the snapshot in the object store, from the stored rows and from
+// the change log.
+//
+// At start a Reader asks peers, then the object store, then the table service,
+// and yields rows and the revision that they belong to. A listing of the stored
+// rows is spread over time, during which rows change. The Reader therefore takes
+// the head first, lists the rows, and then merges the log entries after that
+// head; the merged rows belong to the last entry's revision.
+//
+// After the start, a reader router polls the log from its own revision. Whatever
+// arrives is handed to table.Table, which ignores older revisions and reports
+// gaps; a stale snapshot only makes the next poll longer.
+//
+// # Usage
+//
+//	r := spread.New(deadline)
+//	step := r.Start(now)
+//	for step.Do != spread.Load {
+//		step = r.Next(now, run(step))
+//	}
+//	t.Load(step.Rows, step.Revision)
+//
+//	page := spread.Poll(t.Revision(), 0)
+//	rows, err := service.List(ctx, page.Prefix, page.After, page.Limit)
+//	changes, err := spread.Changes(rows)
+//	t.Apply(changes)
+//
+//	if spread.SnapshotDue(written, t.Revision()) {
+//		data, err := spread.EncodeSnapshot(t.Snapshot())
+//		err = objects.PutObject(ctx, spread.SnapshotName, data)
+//	}
+//
+// A Reader does no I/O, holds no lock and serves one start.
+package spread
+
+import (
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/change"
+)
+
+// PageSize is the number of rows in one listing.
+const PageSize = 512
+
+const retryPause = 500 * time.Millisecond
+
+// Page is a listing of the table service.
+type Page struct {
+	Prefix amaranthtide.StoredKey
+	After  amaranthtide.StoredKey
+	Limit  int
+}
+
+// Action is what the driver of a Reader does next.
+type Action uint8
+
+// The actions.
+const (
+	// AskPeers asks peers for a snapshot; the answer has Snapshot set.
+	AskPeers Action = iota
+	// GetObject reads the object SnapshotName; the answer has Snapshot set.
+	GetObject
+	// Get runs Call; the answer has Result set.
+	Get
+	// List runs the listing Page; the answer has Listed set.
+	List
+	// Wait sleeps for Pause; the answer is empty.
+	Wait
+	// Load ends the start: the table is to be loaded with Rows at Revision.
+	Load
+	// Fail ends the start: nothing was reachable before the deadline.
+	Fail
+)
+
+// Step is what the driver does next. The fields in use depend on Do.
+type Step struct {
+	Do       Action
+	Call     amaranthtide.TableCall
+	Page     Page
+	Pause    time.Duration
+	Rows     []amaranthtide.Row
+	Revision amaranthtide.Revision
+	Err      error
+}
+
+// Answer is the outcome of a step.
+type Answer struct {
+	// Snapshot is absent if peers or the object store have none.
+	Snapshot amaranthtide.Option[Snapshot]
+	Result   amaranthtide.TableResult
+	Listed   []amaranthtide.StoredRow
+	Err      error
+}
+
+// Reader is the state machine of a router's start. Use New.
+type Reader struct {
+	deadline time.Time
+	do       Action
+	// merging tells whether a listing is that of the log.
+	merging  bool
+	revision amaranthtide.Revision
+	after    amaranthtide.StoredKey
+	rows     map[amaranthtide.RowKey]amaranthtide.Row
+}
+
+// New returns a Reader that gives up at the deadline.
+func New(deadline time.Time) *Reader { return &Reader{deadline: deadline} }
+
+// Start returns the first step.
+func (r *Reader) Start(time.Time) Step { return r.step(AskPeers) }
+
+// Next takes the outcome of the last step and returns the next one.
+func (r *Reader) Next(now time.Time, a Answer) Step {
+	switch r.do {
+	case AskPeers, GetObject:
+		if s, ok := a.Snapshot.Get(); ok && a.Err == nil && s.Revision > 0 {
+			return Step{Do: Load, Rows: s.Rows, Revision: s.Revision}
+		}
+		return r.step(r.do + 1)
+	case Get:
+		return r.gotHead(now, a)
+	case List:
+		return r.listed(now, a)
+	default:
+		return r.step(AskPeers)
+	}
+}
+
+func (r *Reader) step(do Action) Step {
+	r.do = do
+	switch do {
+	case Get:
+		return Step{Do: Get, Call: amaranthtide.TableCall{Key: change.HeadKey}}
+	case List:
+		if r.merging {
+			return Step{Do: List, Page: Poll(r.revision, PageSize)}
+		}
+		return Step{Do: List, Page: Page{change.RowPrefix, r.after, PageSize}}
+	default:
+		return Step{Do: do}
+	}
+}
+
+func (r *Reader) gotHead(now time.Time, a Answer) Step {
+	if a.Result.Err != nil {
+		return r.retry(now, a.Result.Err)
+	}
+	revision, err := change.DecodeHead(a.Result.Row)
+	if err != nil {
+		return r.retry(now, err)
+	}
+	r.revision, r.merging, r.after = revision, false, ""
+	r.rows = make(map[amaranthtide.RowKey]amaranthtide.Row)
+	return r.step(List)
+}
+
+func (r *Reader) listed(now time.Time, a Answer) Step {
+	if a.Err != nil {
+		return r.retry(now, a.Err)
+	}
+	if r.merging {
+		return r.merge(now, a.Listed)
+	}
+	for _, stored := range a.Listed {
+		row, err := change.DecodeRow(stored)
+		if err != nil {
+			return r.retry(now, err)
+		}
+		r.rows[row.Key] = row
+		r.after = stored.Key
+	}
+	r.merging = len(a.Listed) < PageSize
+	return r.step(List)
+}
+
+// merge brings the listed rows up to the end of the log. A row that was listed
+// with a later content than that of a log entry keeps it.
+func (r *Reader) merge(now time.Time, listed []amaranthtide.StoredRow) Step {
+	changes, err := Changes(listed)
+	if err != nil {
+		return r.retry(now, err)
+	}
+	for _, c := range changes {
+		if c.Revision != r.revision+1 {
+			return r.retry(now, amaranthtide.Errorf(amaranthtide.KindInternal, "log entry %d follows %d", c.Revision, r.revision))
+		}
+		r.revision = c.Revision
+		switch {
+		case r.rows[c.Key].Revision > c.Revision:
+		case c.After == nil:
+			delete(r.rows, c.Key)
+		default:
+			r.rows[c.Key] = amaranthtide.Row{Key: c.Key, Revision: c.Revision, Value: c.After}
+		}
+	}
+	if len(listed) == PageSize {
+		return r.step(List)
+	}
+	rows := make([]amaranthtide.Row, 0, len(r.rows))
+	for _, row := range r.rows {
+		rows = append(rows, row)
+	}
+	return Step{Do: Load, Rows: rows, Revision: r.revision}
+}
+
+// retry begins anew with the peers after a pause.
+func (r *Reader) retry(now time.Time, cause error) Step {
+	if now.After(r.deadline) {
+		return Step{Do: Fail, Err: amaranthtide.Errorf(amaranthtide.KindPlatformDown, "the table was not reachable: %w", cause)}
+	}
+	r.do = Wait
+	return Step{Do: Wait, Pause: retryPause}
+}
