coordination: proofs of claims and table changes

Cause: the promises P5, P6 and P9 span several packages and have to hold under lost, late and failing platform answers. Change: rapid state machines over a table service in memory; Observe of order.Planner takes the time of the report; spread's merge needs no guard, since the log reaches further than the rows.

--- /dev/null
+++ b/coordination/change_test.go
@@ -0,0 +1,334 @@
+package coordination_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/change"
+	"amaranthtide/coordination/spread"
+	"amaranthtide/state/table"
+)
+
+type operator struct {
+	e      *change.Editor
+	cfg    change.Config
+	step   change.Step
+	result *amaranthtide.TableResult
+}
+
+func (o *operator) done() bool { _, ok := o.step.Result.Get(); return ok }
+
+func (o *operator) advance(t *rapid.T, f *fakeTable, now time.Time) {
+	switch {
+	case o.done():
+	case o.result != nil:
+		r := *o.result
+		o.result = nil
+		o.step = o.e.Next(now, r)
+	default:
+		r := f.call(t, o.step.Call)
+		o.result = &r
+	}
+}
+
+func newOperator(i int, edits []amaranthtide.Edit, now, deadline time.Time) *operator {
+	o := &operator{cfg: change.Config{Operator: amaranthtide.OperatorName(fmt.Sprint("operator-", i)), Edits: edits,
+		Token: amaranthtide.Token(fmt.Sprint("batch-", i)), Deadline: deadline}}
+	o.e = change.New(o.cfg)
+	o.step = o.e.Start(now)
+	return o
+}
+
+// reader is a router's copy of the table.
+type reader struct {
+	tab     *table.Table
+	starter *spread.Reader
+	step    spread.Step
+	seen    amaranthtide.Revision
+}
+
+type changes struct {
+	table     *fakeTable
+	now       time.Time
+	operators []*operator
+	readers   []*reader
+	snapshots []spread.Snapshot
+	// cached is the log as of a version of the table service.
+	cached   []amaranthtide.Change
+	cachedAt amaranthtide.RowVersion
+}
+
+func (m *changes) log(t *rapid.T) []amaranthtide.Change {
+	if m.cached != nil && m.cachedAt == m.table.version {
+		return m.cached
+	}
+	log, err := spread.Changes(m.table.list(change.LogPrefix, "", 10_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.cached, m.cachedAt = log, m.table.version
+	return log
+}
+
+func replay(log []amaranthtide.Change) map[amaranthtide.RowKey]amaranthtide.Row {
+	rows := map[amaranthtide.RowKey]amaranthtide.Row{}
+	for _, c := range log {
+		rows[c.Key] = amaranthtide.Row{Key: c.Key, Revision: c.Revision, Value: c.After}
+		if c.After == nil {
+			delete(rows, c.Key)
+		}
+	}
+	return rows
+}
+
+func (m *changes) edit(t *rapid.T) {
+	if len(m.operators) >= 12 {
+		return
+	}
+	rows := replay(m.log(t))
+	var edits []amaranthtide.Edit
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 2, rapid.ID).Draw(t, "names") {
+		key := amaranthtide.RowKey{Kind: amaranthtide.RowWorkspace, Name: name}
+		e := amaranthtide.Edit{Key: key, Expected: rows[key].Revision, Value: amaranthtide.Workspace{Weight: len(m.operators) + 1}}
+		if e.Expected > 0 && rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+			e.Value = nil
+		}
+		edits = append(edits, e)
+	}
+	deadline := m.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "deadline")) * time.Second)
+	m.operators = append(m.operators, newOperator(len(m.operators), edits, m.now, deadline))
+}
+
+func (m *changes) read(t *rapid.T) {
+	r := m.readers[rapid.IntRange(0, len(m.readers)-1).Draw(t, "reader")]
+	switch rapid.SampledFrom([]string{"start", "start", "poll", "peer", "snapshot"}).Draw(t, "read") {
+	case "start":
+		m.start(t, r)
+	case "poll":
+		page := spread.Poll(r.tab.Revision(), rapid.IntRange(1, 3).Draw(t, "limit"))
+		list, _ := spread.Changes(m.table.list(page.Prefix, page.After, page.Limit))
+		r.tab.Apply(list)
+	case "peer":
+		peer := m.readers[rapid.IntRange(0, len(m.readers)-1).Draw(t, "peer")]
+		list, _ := peer.tab.Changes(amaranthtide.Revision(rapid.IntRange(0, 20).Draw(t, "after")), 4)
+		r.tab.Apply(list)
+	case "snapshot":
+		data, err := spread.EncodeSnapshot(r.tab.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := spread.DecodeSnapshot(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.snapshots = append(m.snapshots, s)
+	}
+}
+
+// start runs one step of a router's start. The object store may hold any of the
+// snapshots that were ever written.
+func (m *changes) start(t *rapid.T, r *reader) {
+	if r.starter == nil {
+		r.starter = spread.New(m.now.Add(time.Hour))
+		r.step = r.starter.Start(m.now)
+		return
+	}
+	var a spread.Answer
+	switch r.step.Do {
+	case spread.AskPeers, spread.GetObject:
+		if i := rapid.IntRange(-4, len(m.snapshots)-1).Draw(t, "snapshot"); i >= 0 {
+			a.Snapshot = amaranthtide.Some(m.snapshots[i])
+		}
+	case spread.Get:
+		a.Result = m.table.call(t, r.step.Call)
+	case spread.List:
+		a.Listed = m.table.list(r.step.Page.Prefix, r.step.Page.After, r.step.Page.Limit)
+	case spread.Load:
+		r.tab.Load(r.step.Rows, r.step.Revision)
+		r.starter = nil
+		return
+	}
+	r.step = r.starter.Next(m.now, a)
+}
+
+func (m *changes) check(t *rapid.T) {
+	log := m.log(t)
+	rows := map[amaranthtide.RowKey]amaranthtide.RowValue{}
+	for i, c := range log {
+		before := rows[c.Key]
+		rows[c.Key] = c.After
+		if c.Revision != amaranthtide.Revision(i+1) || c.Before != before {
+			t.Fatalf("log entry %d got: %+v, want: before %v", i+1, c, before)
+		}
+	}
+	if head, err := change.DecodeHead(amaranthtide.Some(m.table.rows[change.HeadKey])); len(log) > 0 && (err != nil || int(head) != len(log)) {
+		t.Fatalf("head got: %d %v, want: %d", head, err, len(log))
+	}
+	for _, o := range m.operators {
+		m.checkResult(t, o, log)
+	}
+	for i, r := range m.readers {
+		got, revision := r.tab.Snapshot()
+		if revision < r.seen {
+			t.Fatalf("reader %d got: revision %d after %d", i, revision, r.seen)
+		}
+		r.seen = revision
+		want := replay(log[:revision])
+		if len(got) != len(want) {
+			t.Fatalf("reader %d at %d got: %v, want: %v", i, revision, got, want)
+		}
+		for _, row := range got {
+			if row != want[row.Key] {
+				t.Fatalf("reader %d at %d got: %v, want: %v", i, revision, row, want[row.Key])
+			}
+		}
+	}
+}
+
+func (m *changes) checkResult(t *rapid.T, o *operator, log []amaranthtide.Change) {
+	r, ok := o.step.Result.Get()
+	if !ok {
+		return
+	}
+	mine := 0
+	for _, c := range log {
+		if c.Operator == o.cfg.Operator {
+			mine++
+		}
+	}
+	switch kind := amaranthtide.KindOf(r.Err); {
+	case r.Err == nil:
+		if mine != len(o.cfg.Edits) || len(r.Changes) != mine {
+			t.Fatalf("%s was accepted; log entries got: %d, want: %d", o.cfg.Operator, mine, len(o.cfg.Edits))
+		}
+		for _, c := range r.Changes {
+			if c != log[c.Revision-1] {
+				t.Fatalf("accepted got: %+v, want: %+v", c, log[c.Revision-1])
+			}
+		}
+	case kind != amaranthtide.KindOutcomeUnknown && mine != 0:
+		t.Fatalf("%s was told %v; log entries got: %d, want: 0", o.cfg.Operator, r.Err, mine)
+	case kind == amaranthtide.KindConflict:
+		conflict, _ := r.Conflict.Get()
+		row, exists := conflict.Row.Get()
+		cause, known := conflict.Change.Get()
+		if known && (!exists || cause != log[row.Revision-1] || row.Value != cause.After) {
+			t.Fatalf("conflict got: %+v by %+v", row, cause)
+		}
+	}
+}
+
+// Guards against an accepted change that is lost or goes back, revisions with
+// gaps, a batch that is reported wrongly, and readers that differ from the log
+// at their revision or do not converge (P9).
+func TestAcceptedChangesStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &changes{table: newFakeTable(), now: epoch}
+		for range 3 {
+			m.readers = append(m.readers, &reader{tab: table.New()})
+		}
+		advance := func(t *rapid.T) {
+			if len(m.operators) > 0 {
+				m.operators[rapid.IntRange(0, len(m.operators)-1).Draw(t, "operator")].advance(t, m.table, m.now)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"edit": m.edit, "advance1": advance, "advance2": advance, "advance3": advance, "advance4": advance, "advance5": advance,
+			"read1": m.read, "read2": m.read, "land": m.table.land,
+			"tick": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "millis")) * time.Millisecond)
+			},
+			"": m.check,
+		})
+		m.table.heal(t)
+		for _, o := range m.operators {
+			for n := 0; !o.done(); n++ {
+				if n > 400 {
+					t.Fatalf("%s does not end", o.cfg.Operator)
+				}
+				o.advance(t, m.table, m.now)
+			}
+		}
+		log := m.log(t)
+		for i, r := range m.readers {
+			if len(m.snapshots) > 0 {
+				s := m.snapshots[0]
+				r.tab.Load(s.Rows, s.Revision)
+			}
+			r.tab.Apply(log)
+			if got := int(r.tab.Revision()); got != len(log) {
+				t.Fatalf("reader %d got: revision %d, want: %d", i, got, len(log))
+			}
+		}
+		m.check(t)
+	})
+}
+
+// Guards against two operators who both win or both lose, and against a loser
+// who is not shown the winner's row.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeTable()
+		f.healed = true
+		key := amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}
+		var ops []*operator
+		for i := range rapid.IntRange(2, 4).Draw(t, "operators") {
+			ops = append(ops, newOperator(i, []amaranthtide.Edit{{Key: key, Value: amaranthtide.Zone{Region: fmt.Sprint(i)}}}, epoch, epoch.Add(time.Hour)))
+		}
+		running := append([]*operator(nil), ops...)
+		for len(running) > 0 {
+			i := rapid.IntRange(0, len(running)-1).Draw(t, "next")
+			running[i].advance(t, f, epoch)
+			if running[i].done() {
+				running = append(running[:i], running[i+1:]...)
+			}
+		}
+		var winners []amaranthtide.Change
+		for _, o := range ops {
+			r, _ := o.step.Result.Get()
+			winners = append(winners, r.Changes...)
+		}
+		if len(winners) != 1 {
+			t.Fatalf("winners got: %d, want: 1", len(winners))
+		}
+		for _, o := range ops {
+			r, _ := o.step.Result.Get()
+			if r.Err == nil {
+				continue
+			}
+			conflict, _ := r.Conflict.Get()
+			row, _ := conflict.Row.Get()
+			cause, _ := conflict.Change.Get()
+			if !amaranthtide.IsKind(r.Err, amaranthtide.KindConflict) || row.Value != winners[0].After || cause != winners[0] {
+				t.Fatalf("loser got: %v %v %v, want: %v", r.Err, row, cause, winners[0])
+			}
+		}
+	})
+}
+
+// Guards against bad edits that reach the platform.
+func TestBadEditsAreRefused(t *testing.T) {
+	ws := amaranthtide.RowKey{Kind: amaranthtide.RowWorkspace, Name: "w"}
+	good := amaranthtide.Workspace{Weight: 1}
+	tests := map[string][]amaranthtide.Edit{
+		"empty batch":       nil,
+		"bad name":          {{Key: amaranthtide.RowKey{Kind: amaranthtide.RowWorkspace, Name: "a/b"}, Value: good}},
+		"bad value":         {{Key: ws, Value: amaranthtide.Workspace{}}},
+		"wrong kind":        {{Key: ws, Value: amaranthtide.Zone{}}},
+		"row twice":         {{Key: ws, Value: good}, {Key: ws, Value: good}},
+		"delete of nothing": {{Key: ws}},
+		"unknown kind":      {{Key: amaranthtide.RowKey{Kind: "x", Name: "w"}, Expected: 1}},
+	}
+	for name, edits := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, done := newOperator(0, edits, epoch, epoch).step.Result.Get()
+			if !done || !amaranthtide.IsKind(r.Err, amaranthtide.KindBadRequest) {
+				t.Errorf("got: %v %v, want: badRequest", done, r.Err)
+			}
+		})
+	}
+}
--- a/coordination/order/planner.go
+++ b/coordination/order/planner.go
@@ -19,7 +19,7 @@
 //
 //	p := order.New(order.Config{})
 //	p.Declare(server, row, model.OrderTimeout) // for each engine, on each change
-//	p.Observe(server, state)                   // for each report
+//	p.Observe(asked, server, state)            // for each report
 //	step := p.Next(now, l)
 //	switch step.Do {
 //	case order.Reserve:
@@ -127,11 +127,13 @@
 	// open is the last order whose outcome is not known; it may take effect until settled.
 	open    amaranthtide.Option[State]
 	settled time.Time
-	order   amaranthtide.Order
-	due     time.Time
-	backoff time.Duration
-	reason  string
-	since   time.Time
+	// confirmed is when the last order was confirmed.
+	confirmed time.Time
+	order     amaranthtide.Order
+	due       time.Time
+	backoff   time.Duration
+	reason    string
+	since     time.Time
 }
 
 // Planner decides the orders to the engines of one zone. Use New.
@@ -186,9 +188,11 @@
 	p.names = slices.Delete(p.names, i, i+1)
 }
 
-// Observe takes what an engine reports. Engines that are not declared are ignored.
-func (p *Planner) Observe(name amaranthtide.BackendServerName, s State) {
-	if e, ok := p.engines[name]; ok {
+// Observe takes what an engine reports, and when the report was asked for. It
+// ignores reports asked for before the last order was confirmed and engines that
+// are not declared.
+func (p *Planner) Observe(asked time.Time, name amaranthtide.BackendServerName, s State) {
+	if e, ok := p.engines[name]; ok && !asked.Before(e.confirmed) {
 		e.observed = amaranthtide.Some(s)
 	}
 }
@@ -294,14 +298,19 @@
 	e.explain(now, reason)
 }
 
-// MaySend reports whether an order of a step may still be sent: the driver may
-// have been paused since Next.
+// MaySend reports whether the order of the last step for its engine may still be
+// sent: the driver may have been paused since Next. If so, the order counts as
+// sent now.
 func (p *Planner) MaySend(now time.Time, l *lease.Lease, o amaranthtide.Order) bool {
 	e, ok := p.engines[o.Server]
-	if !ok || l.Fencing(now) != o.Fencing || !now.Before(o.Deadline) {
+	if !ok || e.stage != underWay || l.Fencing(now) != o.Fencing || !now.Before(o.Deadline) {
 		return false
 	}
-	return e.row.ChecksFencing || l.MayOrder(now, o.Deadline.Sub(now))
+	if !e.row.ChecksFencing && !l.MayOrder(now, e.timeout) {
+		return false
+	}
+	e.settled = now.Add(e.timeout + e.timeout/clockMargin)
+	return true
 }
 
 // Reserved takes the weight store's answer for an engine: the time to wait
@@ -331,6 +340,7 @@
 	switch {
 	case err == nil:
 		e.open, e.asserted, e.backoff = amaranthtide.None[State](), e.order.Fencing, backoffMin
+		e.confirmed = now
 		e.observed = amaranthtide.Some(State{e.order.Model, e.order.Version, e.order.Adapters, e.order.Role})
 		e.explain(now, "")
 	case amaranthtide.IsKind(err, amaranthtide.KindFenced):
--- /dev/null
+++ b/coordination/platform_test.go
@@ -0,0 +1,127 @@
+// Package coordination_test proves the promises that span several decision
+// packages, against a table service whose faults rapid draws.
+package coordination_test
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+)
+
+// epoch is the true time at which each run begins.
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// fakeTable is a table service in memory. Versions never repeat, also after a
+// row is deleted. A commit may be lost before or after its effect, or land late.
+type fakeTable struct {
+	rows    map[amaranthtide.StoredKey]amaranthtide.StoredRow
+	version amaranthtide.RowVersion
+	late    []amaranthtide.Transaction
+	// healed turns all faults off.
+	healed    bool
+	committed func(amaranthtide.Transaction)
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[amaranthtide.StoredKey]amaranthtide.StoredRow{}}
+}
+
+func (f *fakeTable) commit(tx amaranthtide.Transaction) amaranthtide.TableResult {
+	for _, c := range tx.Conditions {
+		if f.rows[c.Key].Version != c.Version {
+			return amaranthtide.TableResult{Err: amaranthtide.Errorf(amaranthtide.KindConflict, "%s", c.Key)}
+		}
+	}
+	if f.committed != nil {
+		f.committed(tx)
+	}
+	f.version++
+	var r amaranthtide.TableResult
+	for _, w := range tx.Writes {
+		if w.Value == nil {
+			delete(f.rows, w.Key)
+			r.Versions = append(r.Versions, 0)
+			continue
+		}
+		f.rows[w.Key] = amaranthtide.StoredRow{Key: w.Key, Version: f.version, Token: tx.Token, Value: w.Value}
+		r.Versions = append(r.Versions, f.version)
+	}
+	return r
+}
+
+func (f *fakeTable) call(t *rapid.T, c amaranthtide.TableCall) amaranthtide.TableResult {
+	fault := "none"
+	if !f.healed {
+		fault = rapid.SampledFrom([]string{"none", "none", "none", "down", "lostBefore", "lostAfter", "late"}).Draw(t, "fault")
+	}
+	tx, isCommit := c.Transaction.Get()
+	if fault == "down" || fault != "none" && !isCommit {
+		return amaranthtide.TableResult{Err: amaranthtide.Errorf(amaranthtide.KindPlatformDown, "down")}
+	}
+	if !isCommit {
+		return f.get(c.Key)
+	}
+	switch fault {
+	case "none":
+		return f.commit(tx)
+	case "lostAfter":
+		f.commit(tx)
+	case "late":
+		f.late = append(f.late, tx)
+	}
+	return amaranthtide.TableResult{Err: amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "lost")}
+}
+
+func (f *fakeTable) get(key amaranthtide.StoredKey) amaranthtide.TableResult {
+	if row, ok := f.rows[key]; ok {
+		return amaranthtide.TableResult{Row: amaranthtide.Some(row)}
+	}
+	return amaranthtide.TableResult{}
+}
+
+func (f *fakeTable) list(prefix, after amaranthtide.StoredKey, limit int) []amaranthtide.StoredRow {
+	var rows []amaranthtide.StoredRow
+	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
+		if strings.HasPrefix(string(key), string(prefix)) && key > after && len(rows) < limit {
+			rows = append(rows, f.rows[key])
+		}
+	}
+	return rows
+}
+
+// land lets one commit that is under way take effect, if its conditions hold.
+func (f *fakeTable) land(t *rapid.T) {
+	if len(f.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(f.late)-1).Draw(t, "late")
+	tx := f.late[i]
+	f.late = slices.Delete(f.late, i, i+1)
+	f.commit(tx)
+}
+
+// heal turns faults off and lands what is under way.
+func (f *fakeTable) heal(t *rapid.T) {
+	f.healed = true
+	for len(f.late) > 0 {
+		f.land(t)
+	}
+}
+
+// TestMain makes the runs longer than rapid's defaults of 100 checks and 30
+// steps, in which takeovers and repeats are rare. Flags on the command line win.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.checks": "400", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
--- a/coordination/spread/reader.go
+++ b/coordination/spread/reader.go
@@ -175,8 +175,8 @@
 	return r.step(List)
 }
 
-// merge brings the listed rows up to the end of the log. A row that was listed
-// with a later content than that of a log entry keeps it.
+// merge brings the listed rows up to the end of the log. The log was read after
+// the rows, so that it reaches at least as far as any of them.
 func (r *Reader) merge(now time.Time, listed []amaranthtide.StoredRow) Step {
 	changes, err := Changes(listed)
 	if err != nil {
@@ -187,13 +187,11 @@
 			return r.retry(now, amaranthtide.Errorf(amaranthtide.KindInternal, "log entry %d follows %d", c.Revision, r.revision))
 		}
 		r.revision = c.Revision
-		switch {
-		case r.rows[c.Key].Revision > c.Revision:
-		case c.After == nil:
+		if c.After == nil {
 			delete(r.rows, c.Key)
-		default:
-			r.rows[c.Key] = amaranthtide.Row{Key: c.Key, Revision: c.Revision, Value: c.After}
+			continue
 		}
+		r.rows[c.Key] = amaranthtide.Row{Key: c.Key, Revision: c.Revision, Value: c.After}
 	}
 	if len(listed) == PageSize {
 		return r.step(List)
