--- /dev/null
+++ b/protocol/message/changes.go
@@ -0,0 +1,110 @@
+package message
+
+import (
+	"time"
+
+	"amaranthtide"
+)
+
+// Changes carries log entries of the configuration table.
+type Changes struct {
+	// After is the revision that the entries follow.
+	After   uint64  `msgpack:"after"`
+	Entries []Entry `msgpack:"entries"`
+}
+
+// Entry is the wire form of amaranthtide.Change.
+type Entry struct {
+	Revision   uint64 `msgpack:"revision"`
+	TimeMillis int64  `msgpack:"timeMillis"`
+	Operator   string `msgpack:"operator"`
+	Kind       string `msgpack:"kind"`
+	Name       string `msgpack:"name"`
+	// Before and After are JSON, empty where the row does not exist.
+	Before []byte `msgpack:"before"`
+	After  []byte `msgpack:"after"`
+}
+
+// ChangesWanted asks for the log entries after a revision.
+type ChangesWanted struct {
+	After uint64 `msgpack:"after"`
+}
+
+// NewChanges returns the wire form of the changes that follow the revision
+// after. Their times are cut to milliseconds.
+func NewChanges(after amaranthtide.Revision, changes []amaranthtide.Change) (*Changes, error) {
+	m := &Changes{After: uint64(after), Entries: make([]Entry, len(changes))}
+	for i, c := range changes {
+		before, err := encodeValue(c.Before)
+		if err != nil {
+			return nil, err
+		}
+		value, err := encodeValue(c.After)
+		if err != nil {
+			return nil, err
+		}
+		m.Entries[i] = Entry{
+			Revision: uint64(c.Revision), TimeMillis: c.Time.UnixMilli(), Operator: string(c.Operator),
+			Kind: string(c.Key.Kind), Name: c.Key.Name, Before: before, After: value,
+		}
+	}
+	return m, nil
+}
+
+// Root returns the revision that the changes follow and the changes. It returns
+// an error for a row of unknown kind or with unknown fields, so that a router
+// never applies half of a change.
+func (m *Changes) Root() (amaranthtide.Revision, []amaranthtide.Change, error) {
+	out := make([]amaranthtide.Change, len(m.Entries))
+	for i, e := range m.Entries {
+		kind := amaranthtide.RowKind(e.Kind)
+		before, err := decodeValue(kind, e.Before)
+		if err != nil {
+			return 0, nil, err
+		}
+		after, err := decodeValue(kind, e.After)
+		if err != nil {
+			return 0, nil, err
+		}
+		out[i] = amaranthtide.Change{
+			Revision: amaranthtide.Revision(e.Revision), Time: time.UnixMilli(e.TimeMillis).UTC(),
+			Operator: amaranthtide.OperatorName(e.Operator),
+			Key:      amaranthtide.RowKey{Kind: kind, Name: e.Name}, Before: before, After: after,
+		}
+	}
+	return amaranthtide.Revision(m.After), out, nil
+}
+
+func (m *Changes) check() error {
+	if err := checkLength("entries", len(m.Entries), MaxChanges); err != nil {
+		return err
+	}
+	for _, e := range m.Entries {
+		if err := checkNames(e.Operator, e.Kind, e.Name); err != nil {
+			return err
+		}
+		if err := checkLength("before", len(e.Before), MaxValue); err != nil {
+			return err
+		}
+		if err := checkLength("after", len(e.After), MaxValue); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (*ChangesWanted) check() error { return nil }
+
+func encodeValue(v amaranthtide.RowValue) ([]byte, error) {
+	if v == nil {
+		return nil, nil
+	}
+	return amaranthtide.EncodeRowValue(v)
+}
+
+func decodeValue(kind amaranthtide.RowKind, data []byte) (amaranthtide.RowValue, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	return amaranthtide.DecodeRowValue(kind, data)
+}
--- /dev/null
+++ b/protocol/message/chunk.go
@@ -0,0 +1,99 @@
+package message
+
+import (
+	"encoding/binary"
+
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// A chunk is the msgpack array [offset, data]. It is encoded by hand, since it is
+// the one message whose cost per frame matters: the data are copied once into
+// the send buffer and are not copied when they are decoded.
+//
+// The offset is the number of bytes of the answer before the chunk. It lets the
+// entry drop a chunk that it has seen and notice one that it has not.
+const (
+	chunkItems = 2
+	// chunkOverhead is the array code, a 9-byte offset and a 5-byte length.
+	chunkOverhead = 15
+	// MaxChunk is the largest data of one chunk. It is below the window, so that
+	// one stream never holds the connection for a whole window.
+	MaxChunk = 16 << 10
+)
+
+// ChunkSize returns the size of the encoded form of a chunk.
+func ChunkSize(offset uint64, data []byte) int {
+	var b [chunkOverhead]byte
+	return len(appendChunkPrefix(b[:0], offset, len(data))) + len(data)
+}
+
+// AppendChunk appends the encoded form of a chunk to dst.
+func AppendChunk(dst []byte, offset uint64, data []byte) []byte {
+	return append(appendChunkPrefix(dst, offset, len(data)), data...)
+}
+
+func appendChunkPrefix(dst []byte, offset uint64, n int) []byte {
+	dst = append(dst, msgpcode.FixedArrayLow|chunkItems)
+	switch {
+	case offset <= uint64(msgpcode.PosFixedNumHigh):
+		dst = append(dst, byte(offset))
+	case offset <= 1<<16-1:
+		dst = binary.BigEndian.AppendUint16(append(dst, msgpcode.Uint16), uint16(offset))
+	case offset <= 1<<32-1:
+		dst = binary.BigEndian.AppendUint32(append(dst, msgpcode.Uint32), uint32(offset))
+	default:
+		dst = binary.BigEndian.AppendUint64(append(dst, msgpcode.Uint64), offset)
+	}
+	if n <= 1<<8-1 {
+		return append(dst, msgpcode.Bin8, byte(n))
+	}
+	if n <= 1<<16-1 {
+		return binary.BigEndian.AppendUint16(append(dst, msgpcode.Bin16), uint16(n))
+	}
+	return binary.BigEndian.AppendUint32(append(dst, msgpcode.Bin32), uint32(n))
+}
+
+// DecodeChunk returns the offset and the data of a chunk. The data are part of
+// payload.
+func DecodeChunk(payload []byte) (offset uint64, data []byte, err error) {
+	w := shapeWalker{rest: payload}
+	c, err := w.number(1)
+	if err != nil {
+		return 0, nil, err
+	}
+	if byte(c) != msgpcode.FixedArrayLow|chunkItems {
+		return 0, nil, badMessage("chunk begins with %#x", c)
+	}
+	if offset, err = w.unsigned(); err != nil {
+		return 0, nil, err
+	}
+	if c, err = w.number(1); err != nil {
+		return 0, nil, err
+	}
+	if byte(c) < msgpcode.Bin8 || byte(c) > msgpcode.Bin32 {
+		return 0, nil, badMessage("chunk has no data but %#x", c)
+	}
+	n, err := w.number(1 << (byte(c) - msgpcode.Bin8))
+	if err != nil {
+		return 0, nil, err
+	}
+	if n != uint64(len(w.rest)) || n > MaxChunk {
+		return 0, nil, badMessage("chunk of %d bytes announces %d, allowed are 0 to %d", len(w.rest), n, MaxChunk)
+	}
+	return offset, w.rest, nil
+}
+
+// unsigned reads an unsigned number in any of its encodings.
+func (w *shapeWalker) unsigned() (uint64, error) {
+	c, err := w.number(1)
+	if err != nil {
+		return 0, err
+	}
+	if byte(c) <= msgpcode.PosFixedNumHigh {
+		return c, nil
+	}
+	if byte(c) < msgpcode.Uint8 || byte(c) > msgpcode.Uint64 {
+		return 0, badMessage("%#x is no unsigned number", c)
+	}
+	return w.number(1 << (byte(c) - msgpcode.Uint8))
+}
--- /dev/null
+++ b/protocol/message/digest.go
@@ -0,0 +1,59 @@
+package message
+
+import "amaranthtide"
+
+// Digest is the wire form of amaranthtide.Digest. Of the loads it carries the
+// server, the requests in flight and the completion rate.
+type Digest struct {
+	Zone     string     `msgpack:"zone"`
+	From     string     `msgpack:"from"`
+	Sequence uint64     `msgpack:"sequence"`
+	Revision uint64     `msgpack:"revision"`
+	Live     []string   `msgpack:"live"`
+	Loads    []ZoneLoad `msgpack:"loads"`
+}
+
+// NewDigest returns the wire form of d.
+func NewDigest(d amaranthtide.Digest) *Digest {
+	live := make([]string, len(d.Live))
+	for i, vm := range d.Live {
+		live[i] = string(vm)
+	}
+	return &Digest{
+		Zone: string(d.Zone), From: string(d.From), Sequence: d.Sequence,
+		Revision: uint64(d.Revision), Live: live, Loads: newZoneLoads(d.Loads),
+	}
+}
+
+// Root returns the digest.
+func (m *Digest) Root() amaranthtide.Digest {
+	live := make([]amaranthtide.VMName, len(m.Live))
+	for i, vm := range m.Live {
+		live[i] = amaranthtide.VMName(vm)
+	}
+	return amaranthtide.Digest{
+		Zone: amaranthtide.ZoneName(m.Zone), From: amaranthtide.VMName(m.From), Sequence: m.Sequence,
+		Revision: amaranthtide.Revision(m.Revision), Live: live, Loads: rootZoneLoads(m.Loads),
+	}
+}
+
+func (m *Digest) check() error {
+	if err := checkNames(m.Zone, m.From); err != nil {
+		return err
+	}
+	if err := checkLength("live", len(m.Live), MaxVMs); err != nil {
+		return err
+	}
+	if err := checkNames(m.Live...); err != nil {
+		return err
+	}
+	if err := checkLength("loads", len(m.Loads), MaxLoads); err != nil {
+		return err
+	}
+	for _, l := range m.Loads {
+		if err := checkNames(l.Server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/protocol/message/report.go
@@ -0,0 +1,84 @@
+package message
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthtide"
+)
+
+// Report is the wire form of amaranthtide.Report.
+type Report struct {
+	VM             string `msgpack:"vm"`
+	Zone           string `msgpack:"zone"`
+	Address        []byte `msgpack:"address"`
+	Incarnation    uint64 `msgpack:"incarnation"`
+	Sequence       uint64 `msgpack:"sequence"`
+	Revision       uint64 `msgpack:"revision"`
+	View           uint64 `msgpack:"view"`
+	Leaving        bool   `msgpack:"leaving"`
+	IntervalMillis uint32 `msgpack:"intervalMillis"`
+	Loads          []Load `msgpack:"loads"`
+}
+
+// NewReport returns the wire form of r. The interval is rounded up to
+// milliseconds, so that receivers never expect the next report too early.
+func NewReport(r amaranthtide.Report) *Report {
+	return &Report{
+		VM: string(r.VM), Zone: string(r.Zone), Address: addressBytes(r.Address),
+		Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
+		Revision: uint64(r.Revision), View: uint64(r.View), Leaving: r.Leaving,
+		IntervalMillis: millisUp(r.Interval), Loads: newLoads(r.Loads),
+	}
+}
+
+// Root returns the report, or an error if its address is not one.
+func (m *Report) Root() (amaranthtide.Report, error) {
+	addr, err := parseAddress(m.Address)
+	if err != nil {
+		return amaranthtide.Report{}, err
+	}
+	return amaranthtide.Report{
+		VM: amaranthtide.VMName(m.VM), Zone: amaranthtide.ZoneName(m.Zone), Address: addr,
+		Incarnation: amaranthtide.Incarnation(m.Incarnation), Sequence: m.Sequence,
+		Revision: amaranthtide.Revision(m.Revision), View: amaranthtide.ViewHash(m.View), Leaving: m.Leaving,
+		Interval: time.Duration(m.IntervalMillis) * time.Millisecond, Loads: rootLoads(m.Loads),
+	}, nil
+}
+
+func (m *Report) check() error {
+	if err := checkNames(m.VM, m.Zone, string(m.Address)); err != nil {
+		return err
+	}
+	if err := checkLength("loads", len(m.Loads), MaxLoads); err != nil {
+		return err
+	}
+	for _, l := range m.Loads {
+		if err := checkNames(l.Server, l.Boot); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addressBytes returns the binary form of a: the IP address and a port of two
+// bytes, or nothing for an invalid address.
+func addressBytes(a netip.AddrPort) []byte {
+	b, _ := a.MarshalBinary() // never fails
+	return b
+}
+
+func parseAddress(b []byte) (netip.AddrPort, error) {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(b); err != nil {
+		return netip.AddrPort{}, badMessage("address: %w", err)
+	}
+	return a, nil
+}
+
+// millisUp returns d in milliseconds, rounded up and within bounds.
+func millisUp(d time.Duration) uint32 {
+	const most = 1<<32 - 1
+	ms := (max(d, 0) + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(ms, most))
+}
--- /dev/null
+++ b/transport/mesh/handshake.go
@@ -0,0 +1,133 @@
+package mesh
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"amaranthtide/protocol/frame"
+	"amaranthtide/protocol/message"
+)
+
+const protocolVersion = 1
+
+// The roles enter the MACs, so that neither side can be shown its own proof.
+const (
+	roleDialler  = "amaranthtide dialler"
+	roleAccepter = "amaranthtide accepter"
+)
+
+var errKey = errors.New("peer does not hold the fleet key")
+
+// accept runs the handshake of an accepted connection: it sends a challenge,
+// checks the proof and proves the key itself. A peer without the key learns
+// nothing but the challenge.
+func (m *Mesh) accept(raw net.Conn) (*connection, error) {
+	c := newConnection(m, raw)
+	defer m.guardHandshake(raw)()
+
+	challenge := &message.Challenge{Version: protocolVersion, Nonce: newNonce()}
+	if err := c.send(frame.Challenge, challenge); err != nil {
+		return nil, err
+	}
+	var proof message.Proof
+	if err := c.receive(frame.Proof, &proof); err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(proof.MAC, m.mac(roleDialler, challenge.Nonce, proof.Nonce, proof.Address)) {
+		return nil, errKey
+	}
+	peer, err := proof.AddrPort()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.send(frame.Welcome, &message.Welcome{MAC: m.mac(roleAccepter, proof.Nonce, challenge.Nonce)}); err != nil {
+		return nil, err
+	}
+	c.peer = peer
+	return c, c.ready()
+}
+
+// greet runs the handshake of a dialled connection.
+func (m *Mesh) greet(raw net.Conn, peer netip.AddrPort) (*connection, error) {
+	c := newConnection(m, raw)
+	c.peer, c.dialled = peer, true
+	defer m.guardHandshake(raw)()
+
+	var challenge message.Challenge
+	if err := c.receive(frame.Challenge, &challenge); err != nil {
+		return nil, err
+	}
+	if challenge.Version != protocolVersion {
+		return nil, fmt.Errorf("peer speaks protocol version %d, this router %d", challenge.Version, protocolVersion)
+	}
+	proof := message.NewProof(newNonce(), m.opts.Advertise)
+	proof.MAC = m.mac(roleDialler, challenge.Nonce, proof.Nonce, proof.Address)
+	if err := c.send(frame.Proof, proof); err != nil {
+		return nil, err
+	}
+	var welcome message.Welcome
+	if err := c.receive(frame.Welcome, &welcome); err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(welcome.MAC, m.mac(roleAccepter, proof.Nonce, challenge.Nonce)) {
+		return nil, errKey
+	}
+	return c, c.ready()
+}
+
+// guardHandshake bounds the time of a handshake and cuts it off when the Mesh is
+// closed. The returned function ends the guard.
+func (m *Mesh) guardHandshake(raw net.Conn) func() {
+	_ = raw.SetDeadline(time.Now().Add(m.opts.DialTimeout))
+	stop := context.AfterFunc(m.ctx, func() { _ = raw.Close() })
+	return func() { stop() }
+}
+
+// mac returns the HMAC-SHA256 of the parts under the fleet key. Each part is
+// preceded by its length.
+func (m *Mesh) mac(role string, parts ...[]byte) []byte {
+	h := hmac.New(sha256.New, m.opts.Key)
+	h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(role))))
+	h.Write([]byte(role))
+	for _, p := range parts {
+		h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(p))))
+		h.Write(p)
+	}
+	return h.Sum(nil)
+}
+
+func newNonce() []byte {
+	nonce := make([]byte, message.NonceSize)
+	_, _ = rand.Read(nonce) // never fails, as documented there
+	return nonce
+}
+
+// send writes one frame of the handshake.
+func (c *connection) send(t frame.Type, msg message.Message) error {
+	payload, err := message.Append(nil, msg)
+	if err != nil {
+		return err
+	}
+	_, err = c.raw.Write(frame.Append(nil, frame.Frame{Type: t, Payload: payload}))
+	return err
+}
+
+// receive reads one frame of the handshake.
+func (c *connection) receive(t frame.Type, msg message.Message) error {
+	f, err := c.codec.Next()
+	if err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	if f.Type != t {
+		return fmt.Errorf("handshake: got a %s frame, want %s", f.Type, t)
+	}
+	return message.Decode(f.Payload, msg)
+}
--- /dev/null
+++ b/transport/mesh/incoming.go
@@ -0,0 +1,240 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/protocol/frame"
+	"amaranthtide/protocol/message"
+)
+
+// incoming is a stream opened by a peer: a request that is served here. It is the
+// AnswerWriter of that request.
+type incoming struct {
+	conn   *connection
+	id     uint64
+	server amaranthtide.BackendServerName
+	req    *amaranthtide.Request
+	ctx    context.Context
+	cancel context.CancelFunc
+	window int
+	// signal holds a token when credit was granted or the stream was detached.
+	signal chan struct{}
+
+	// began and sent are used by the serving goroutine only.
+	began bool
+	sent  uint64
+
+	mu     sync.Mutex
+	credit int
+	// detached streams have no reader any more.
+	detached bool
+}
+
+// handleRequest handles a frame of the entry.
+func (c *connection) handleRequest(f frame.Frame) {
+	if f.Type == frame.Forward {
+		c.take(f)
+		return
+	}
+	in, ok := c.incoming.Get(f.Stream)
+	if !ok {
+		c.counters.late.Add(1)
+		return
+	}
+	if f.Type == frame.Cancel {
+		in.detach()
+		return
+	}
+	var w message.Window
+	if err := message.Decode(f.Payload, &w); err != nil {
+		c.mesh.opts.Logger.Warn("window dropped", "peer", c.peer, "reason", err)
+		return
+	}
+	in.grant(int(w.Bytes))
+}
+
+// take begins to serve a forward. Streams are numbered in rising order, so that a
+// repeated forward is noticed also when its stream has ended.
+func (c *connection) take(f frame.Frame) {
+	var m message.Forward
+	decodeErr := message.Decode(f.Payload, &m)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed || f.Stream <= c.lastStream {
+		c.counters.late.Add(1)
+		return
+	}
+	c.lastStream = f.Stream
+	if decodeErr != nil {
+		c.refuse(f.Stream, decodeErr)
+		return
+	}
+	if c.streams >= c.mesh.opts.MaxStreams {
+		c.refuse(f.Stream, amaranthtide.Errorf(amaranthtide.KindFull, "peer has %d streams open", c.streams))
+		return
+	}
+	// The flight is counted before refusing is read, so that Shutdown can't miss it.
+	c.mesh.flights.add()
+	if c.mesh.refusing.Load() || !c.mesh.begin() {
+		c.mesh.flights.done()
+		c.refuse(f.Stream, amaranthtide.Errorf(amaranthtide.KindShuttingDown, "router is shutting down"))
+		return
+	}
+	server, req := m.Root(time.Now())
+	window := min(int(m.Window), DefaultWindow)
+	in := &incoming{conn: c, id: f.Stream, server: server, req: req, window: window, credit: window, signal: make(chan struct{}, 1)}
+	in.ctx, in.cancel = context.WithCancel(c.mesh.ctx)
+	c.streams++
+	c.incoming.Set(in.id, in)
+	go in.run()
+}
+
+// refuse ends a stream that was not run.
+func (c *connection) refuse(stream uint64, err error) {
+	c.sendEnd(stream, 0, err)
+}
+
+func (c *connection) sendEnd(stream, size uint64, err error) {
+	payload, encodeErr := message.Append(nil, message.NewEnd(size, err))
+	if encodeErr != nil {
+		c.close(encodeErr)
+		return
+	}
+	c.out.append(frame.Frame{Stream: stream, Type: frame.End, Payload: payload})
+}
+
+// run serves the request and ends the stream.
+func (in *incoming) run() {
+	c := in.conn
+	defer c.mesh.wg.Done()
+	defer c.mesh.flights.done()
+	defer in.cancel()
+	err := c.mesh.owner.Serve(in.ctx, in.server, in.req, in)
+	if err == nil && !in.began {
+		err = internalError("owner ended the answer without a head")
+	}
+	if !in.isDetached() {
+		c.sendEnd(in.id, in.sent, err)
+	}
+	c.incoming.Delete(in.id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams--
+}
+
+// detach marks the stream as no longer read. A repeatable request is canceled; the
+// answer of another is discarded while the owner goes on to store it.
+func (in *incoming) detach() {
+	in.mu.Lock()
+	in.detached = true
+	in.mu.Unlock()
+	in.notify()
+	if in.req.Repeatable() {
+		in.cancel()
+	}
+}
+
+func (in *incoming) isDetached() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.detached
+}
+
+// grant adds to the credit. The window bounds it whatever the peer sends.
+func (in *incoming) grant(n int) {
+	in.mu.Lock()
+	in.credit = min(in.credit+n, in.window)
+	in.mu.Unlock()
+	in.notify()
+}
+
+func (in *incoming) notify() {
+	select {
+	case in.signal <- struct{}{}:
+	default:
+	}
+}
+
+// Head implements amaranthtide.AnswerWriter.
+func (in *incoming) Head(h amaranthtide.AnswerHead) error {
+	if in.began {
+		return internalError("answer has a second head")
+	}
+	payload, err := message.Append(nil, message.NewHead(h))
+	if err != nil {
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "answer head: %v", err)
+	}
+	in.began = true
+	return in.queue(func(dst []byte) []byte {
+		return frame.Append(dst, frame.Frame{Stream: in.id, Type: frame.Head, Payload: payload})
+	})
+}
+
+// Chunk implements amaranthtide.AnswerWriter. It waits while the window is used up.
+func (in *incoming) Chunk(b []byte) error {
+	if !in.began {
+		return internalError("answer has a chunk before its head")
+	}
+	for len(b) > 0 {
+		n := in.reserve(min(len(b), message.MaxChunk))
+		if n == 0 {
+			if in.isDetached() {
+				return in.detachedError()
+			}
+			select {
+			case <-in.signal:
+			case <-in.ctx.Done():
+			case <-in.conn.closing:
+				return in.detachedError()
+			}
+			if in.ctx.Err() != nil {
+				return in.detachedError()
+			}
+			continue
+		}
+		data := b[:n]
+		err := in.queue(func(dst []byte) []byte {
+			dst = frame.AppendHeader(dst, in.id, frame.Chunk, message.ChunkSize(in.sent, data))
+			return message.AppendChunk(dst, in.sent, data)
+		})
+		if err != nil {
+			return err
+		}
+		in.sent += uint64(n)
+		b = b[n:]
+	}
+	return nil
+}
+
+// reserve takes at most n bytes of credit.
+func (in *incoming) reserve(n int) int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.detached {
+		return 0
+	}
+	n = min(n, in.credit)
+	in.credit -= n
+	return n
+}
+
+// queue queues a frame once the connection has room.
+func (in *incoming) queue(f func(dst []byte) []byte) error {
+	if in.isDetached() || in.conn.out.appendWithin(in.ctx.Done(), f) != nil {
+		return in.detachedError()
+	}
+	return nil
+}
+
+// detachedError is the result of writing to a stream without a reader: nil for a
+// request that may not be repeated, whose answer the owner must still complete.
+func (in *incoming) detachedError() error {
+	if !in.req.Repeatable() && in.ctx.Err() == nil {
+		return nil
+	}
+	return amaranthtide.Errorf(amaranthtide.KindCanceled, "entry no longer wants the answer")
+}
--- /dev/null
+++ b/transport/mesh/link.go
@@ -0,0 +1,267 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"amaranthtide"
+)
+
+// link is the way to one peer: its dialled connection, if there is one, and the
+// control messages that wait for it.
+type link struct {
+	mesh *Mesh
+	addr netip.AddrPort
+	// demand holds a token while a connection is wanted.
+	demand chan struct{}
+
+	mu   sync.Mutex
+	conn *connection
+	// attempt is closed when the next dial has succeeded or failed; nil if nobody waits.
+	attempt chan struct{}
+	// err is why the last dial failed; until retryAt there is no other.
+	err      error
+	retryAt  time.Time
+	lastUsed time.Time
+	control  controlQueues
+	// retired links are no longer in the Mesh.
+	retired bool
+}
+
+// link returns the link to addr and begins one if needed; nil if the Mesh is closed.
+func (m *Mesh) link(addr netip.AddrPort) *link {
+	var l *link
+	m.links.Update(addr, func(v *link, ok bool) (*link, bool) {
+		if ok {
+			l = v
+			return v, true
+		}
+		if !m.begin() {
+			return nil, false
+		}
+		l = &link{mesh: m, addr: addr, demand: make(chan struct{}, 1), lastUsed: time.Now()}
+		l.control.limit, l.control.limitBytes = m.opts.ControlQueue, m.opts.SendBuffer
+		go l.run()
+		return l, true
+	})
+	return l
+}
+
+// connect returns the connection to the peer and dials it if needed. It fails at
+// once while the link waits after a failed dial. Errors mean that nothing was sent.
+func (m *Mesh) connect(ctx context.Context, addr netip.AddrPort) (*connection, error) {
+	for {
+		l := m.link(addr)
+		if l == nil {
+			return nil, amaranthtide.Errorf(amaranthtide.KindNoBackend, "router %s: %w", addr, errClosed)
+		}
+		c, attempt, err := l.current()
+		if c != nil || err != nil {
+			return c, err
+		}
+		if attempt == nil {
+			continue // The link was retired and has left the Mesh.
+		}
+		select {
+		case <-attempt:
+		case <-m.ctx.Done():
+			return nil, amaranthtide.Errorf(amaranthtide.KindNoBackend, "router %s: %w", addr, errClosed)
+		case <-ctx.Done():
+			return nil, notSentError(ctx)
+		}
+	}
+}
+
+// notSentError is the outcome of a request whose context ended before it was sent.
+func notSentError(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return amaranthtide.Errorf(amaranthtide.KindDeadlineUnmet, "request was not sent before its deadline")
+	}
+	return amaranthtide.Errorf(amaranthtide.KindCanceled, "request was canceled before it was sent: %w", ctx.Err())
+}
+
+// current returns the open connection, or a channel to wait on for the next dial,
+// or why there is neither. It returns nothing if the link is retired.
+func (l *link) current() (*connection, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired {
+		return nil, nil, nil
+	}
+	now := time.Now()
+	l.lastUsed = now
+	if l.conn != nil && !l.conn.broken() {
+		return l.conn, nil, nil
+	}
+	if l.conn == nil && now.Before(l.retryAt) {
+		return nil, nil, amaranthtide.Errorf(amaranthtide.KindNoBackend, "router %s can't be reached: %w", l.addr, l.err)
+	}
+	if l.attempt == nil {
+		l.attempt = make(chan struct{})
+	}
+	l.want()
+	return nil, l.attempt, nil
+}
+
+func (l *link) want() {
+	select {
+	case l.demand <- struct{}{}:
+	default:
+	}
+}
+
+// run dials when a connection is wanted, until the link has been idle or the Mesh
+// is closed.
+func (l *link) run() {
+	defer l.mesh.wg.Done()
+	backoff := l.mesh.opts.BackoffMin
+	for l.wait() {
+		c, err := l.dial()
+		if err != nil {
+			l.mesh.opts.Logger.Warn("dial failed", "peer", l.addr, "error", err)
+			// The jitter keeps routers that lost the same peer from dialling it together.
+			wait := backoff/2 + rand.N(backoff/2+1)
+			l.failed(err, wait)
+			if !l.pause(wait) {
+				break
+			}
+			backoff = min(2*backoff, l.mesh.opts.BackoffMax)
+			continue
+		}
+		backoff = l.mesh.opts.BackoffMin
+		l.connected(c)
+		_ = c.run() // logs the reason
+		l.disconnected()
+	}
+	l.end()
+}
+
+// wait returns true when a connection is wanted, and false when the link has been
+// idle or the Mesh is closed.
+func (l *link) wait() bool {
+	idle := time.NewTimer(l.mesh.opts.Idle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-l.demand:
+			return true
+		case <-l.mesh.ctx.Done():
+			return false
+		case <-idle.C:
+			if l.retire() {
+				return false
+			}
+			idle.Reset(l.mesh.opts.Idle)
+		}
+	}
+}
+
+func (l *link) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-l.mesh.ctx.Done():
+		return false
+	}
+}
+
+func (l *link) dial() (*connection, error) {
+	ctx, cancel := context.WithTimeout(l.mesh.ctx, l.mesh.opts.DialTimeout)
+	defer cancel()
+	raw, err := l.mesh.opts.Dialer(ctx, l.addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := l.mesh.greet(raw, l.addr)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	c.out.control = l.takeControl
+	c.out.rested = l.rested
+	return c, nil
+}
+
+func (l *link) connected(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn, l.err = c, nil
+	l.release()
+	if !l.control.empty() {
+		c.out.notify()
+	}
+}
+
+// failed drops the control messages that wait: they would be stale later.
+func (l *link) failed(err error, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.err, l.retryAt = err, time.Now().Add(wait)
+	l.control.drop(l.mesh)
+	l.release()
+}
+
+func (l *link) disconnected() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = nil
+	if !l.control.empty() {
+		l.want()
+	}
+}
+
+// release wakes those that wait for a dial. The caller holds mu.
+func (l *link) release() {
+	if l.attempt != nil {
+		close(l.attempt)
+		l.attempt = nil
+	}
+}
+
+// rested closes the connection if the link has been idle. The write loop of the
+// connection calls it after each keepalive interval without a write.
+func (l *link) rested() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil || l.conn.outgoing.Len() > 0 || time.Since(l.lastUsed) < l.mesh.opts.Idle {
+		return
+	}
+	l.conn.close(errIdle)
+}
+
+// retire takes an idle link out of the Mesh. It returns false if the link is wanted.
+func (l *link) retire() bool {
+	return l.leave(func() bool {
+		return l.attempt == nil && l.control.empty() && time.Since(l.lastUsed) >= l.mesh.opts.Idle
+	})
+}
+
+// end takes the link out of the Mesh, unless it is retired already.
+func (l *link) end() {
+	l.leave(func() bool { return true })
+}
+
+// leave removes the link if it may, which is asked under mu. Marking and removing
+// are one step, so that nobody finds a retired link in the Mesh.
+func (l *link) leave(may func() bool) (left bool) {
+	l.mesh.links.Update(l.addr, func(v *link, ok bool) (*link, bool) {
+		if !ok || v != l {
+			return v, ok
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if left = may(); !left {
+			return v, true
+		}
+		l.retired = true
+		l.control.drop(l.mesh)
+		l.release()
+		return nil, false
+	})
+	return left
+}
--- /dev/null
+++ b/transport/mesh/mesh.go
@@ -0,0 +1,211 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"amaranthtide"
+	"amaranthtide/state/shard"
+)
+
+var (
+	errClosed   = errors.New("mesh is closed")
+	errIdle     = errors.New("connection is idle")
+	errFinished = errors.New("router is shutting down")
+)
+
+// maxHandshakes bounds the accepted connections that have not proved the fleet
+// key, so that strangers can't use up memory and file descriptors.
+const maxHandshakes = 256
+
+// Mesh connects this router with others. It is concurrent-safe. Use New.
+type Mesh struct {
+	opts     Options
+	listener net.Listener
+	addr     netip.AddrPort
+	owner    amaranthtide.Owner
+
+	// ctx ends when the Mesh is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	links       *shard.Map[netip.AddrPort, *link]
+	connections *shard.Map[uint64, *connection]
+	lastID      atomic.Uint64
+	peers       *shard.Map[string, []netip.AddrPort]
+	subscribers *shard.Map[string, []*subscription]
+	topics      *shard.Map[string, *topicCounters]
+
+	handshakes chan struct{}
+	refusing   atomic.Bool
+	flights    flights
+
+	// statsMu keeps Stats from counting a connection twice that is being retired.
+	statsMu sync.Mutex
+	past    Stats
+
+	mu      sync.Mutex
+	closed  bool
+	drained bool
+	wg      sync.WaitGroup
+}
+
+// New returns a Mesh that listens. Close it after use.
+func New(opts Options) (*Mesh, error) {
+	if len(opts.Key) < MinKey {
+		return nil, amaranthtide.Errorf(amaranthtide.KindBadRequest, "fleet key has %d bytes, want at least %d", len(opts.Key), MinKey)
+	}
+	opts = opts.withDefaults()
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(opts.Listen))
+	if err != nil {
+		return nil, err
+	}
+	m := &Mesh{
+		opts: opts, listener: l, addr: l.Addr().(*net.TCPAddr).AddrPort(), owner: opts.Owner,
+		links:       shard.New[netip.AddrPort, *link](),
+		connections: shard.New[uint64, *connection](),
+		peers:       shard.New[string, []netip.AddrPort](),
+		subscribers: shard.New[string, []*subscription](),
+		topics:      shard.New[string, *topicCounters](),
+		handshakes:  make(chan struct{}, maxHandshakes),
+	}
+	if m.owner == nil {
+		m.owner = noOwner{}
+	}
+	if !m.opts.Advertise.IsValid() {
+		m.opts.Advertise = m.addr
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.wg.Add(1)
+	go m.run()
+	return m, nil
+}
+
+// Addr returns the address on which the Mesh listens.
+func (m *Mesh) Addr() netip.AddrPort { return m.addr }
+
+// run accepts connections until the listener is closed.
+func (m *Mesh) run() {
+	defer m.wg.Done()
+	for {
+		raw, err := m.listener.Accept()
+		if m.ctx.Err() != nil {
+			if err == nil {
+				_ = raw.Close()
+			}
+			return
+		}
+		if err != nil {
+			m.opts.Logger.Warn("accept failed", "error", err)
+			if !m.pause() {
+				return
+			}
+			continue
+		}
+		select {
+		case m.handshakes <- struct{}{}:
+		default:
+			m.opts.Logger.Warn("connection refused", "remote", raw.RemoteAddr(), "reason", "too many handshakes")
+			_ = raw.Close()
+			continue
+		}
+		if !m.begin() {
+			_ = raw.Close()
+			return
+		}
+		go (&acceptance{m, raw}).run()
+	}
+}
+
+// Shutdown refuses new forwards from peers as KindShuttingDown and waits until
+// all streams in flight, of both directions, have ended and their answers have
+// been written. It returns the error of ctx if that ends first. Own forwards are
+// still sent, since requests in flight at this entry may need them.
+func (m *Mesh) Shutdown(ctx context.Context) error {
+	m.refusing.Store(true)
+	if err := m.flights.wait(ctx); err != nil {
+		return err
+	}
+	for _, c := range m.allConnections() {
+		if err := c.out.flush(ctx); err != nil {
+			return err
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.drained = true
+	return nil
+}
+
+// Close closes all connections, cancels the requests that are being served, also
+// those that may not be repeated, and waits for all goroutines. Call Shutdown
+// first to let the requests end. After a Shutdown that returned nil, peers get what
+// is still unread before their connections end. A second Close does nothing.
+func (m *Mesh) Close() error {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		m.wg.Wait()
+		return nil
+	}
+	m.closed = true
+	drained := m.drained
+	m.mu.Unlock()
+
+	if drained {
+		m.finishConnections()
+	}
+	m.cancel()
+	err := m.listener.Close()
+	for _, c := range m.allConnections() {
+		c.close(errClosed)
+	}
+	m.wg.Wait()
+	return err
+}
+
+// finishConnections ends the accepted connections in order and waits for them.
+// Each ends within the linger time.
+func (m *Mesh) finishConnections() {
+	var accepted []*connection
+	for _, c := range m.allConnections() {
+		if !c.dialled {
+			accepted = append(accepted, c)
+			c.finish()
+		}
+	}
+	for _, c := range accepted {
+		<-c.done
+	}
+}
+
+// begin counts a goroutine that Close waits for. It returns false once the Mesh
+// is closed. The goroutine must call wg.Done.
+func (m *Mesh) begin() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.wg.Add(1)
+	return true
+}
+
+func (m *Mesh) allConnections() []*connection {
+	var all []*connection
+	m.connections.Range(func(_ uint64, c *connection) bool {
+		all = append(all, c)
+		return true
+	})
+	return all
+}
+
+type noOwner struct{}
+
+func (noOwner) Serve(context.Context, amaranthtide.BackendServerName, *amaranthtide.Request, amaranthtide.AnswerWriter) error {
+	return amaranthtide.Errorf(amaranthtide.KindNotOwner, "this router owns no backend servers")
+}
