protocol/message: tests of messages and frames

Cause: decoders read what peers send, hostile peers included. Change: round trips, limits, fuzz targets for every decoder and for frames.

--- /dev/null
+++ b/protocol/message/message_test.go
@@ -0,0 +1,207 @@
+package message_test
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/protocol/message"
+)
+
+var now = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func transfer[M any, P interface {
+	*M
+	message.Message
+}](t *testing.T, m P) P {
+	t.Helper()
+	data, err := message.Append(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := P(new(M))
+	if err := message.Decode(data, got); err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// Guards against fields that are lost on the way to another router.
+func TestMessagesSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	load := amaranthtide.ServerLoad{Server: "e1", Boot: "b1", InFlight: 7, Allowance: 9, CompletionsPerSecond: 2.5}
+	report := amaranthtide.Report{
+		VM: "vm-1", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 3, Sequence: 1 << 40,
+		Revision: 5, View: 1<<64 - 1, Leaving: true, Interval: 150 * time.Millisecond, Loads: []amaranthtide.ServerLoad{load},
+	}
+	gotReport, err := transfer(t, message.NewReport(report)).Root()
+	is.NoErr(err)
+	is.Equal(gotReport, report)
+
+	short := load
+	short.Boot, short.Allowance = "", 0
+	digest := amaranthtide.Digest{
+		Zone: "a", From: "vm-1", Sequence: 2, Revision: 5,
+		Live: []amaranthtide.VMName{"vm-1", "vm-2"}, Loads: []amaranthtide.ServerLoad{short},
+	}
+	is.Equal(transfer(t, message.NewDigest(digest)).Root(), digest)
+
+	changes := []amaranthtide.Change{
+		{Revision: 6, Time: now.Add(3 * time.Millisecond), Operator: "op", Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, After: amaranthtide.Zone{OutOfService: true}},
+		{Revision: 7, Time: now, Operator: "op", Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, Before: amaranthtide.Zone{OutOfService: true}},
+	}
+	m, err := message.NewChanges(5, changes)
+	is.NoErr(err)
+	after, gotChanges, err := transfer(t, m).Root()
+	is.NoErr(err)
+	is.Equal(after, amaranthtide.Revision(5))
+	is.Equal(gotChanges, changes)
+
+	is.Equal(transfer(t, &message.ChangesWanted{After: 9}).After, uint64(9))
+	is.Equal(transfer(t, &message.Window{Bytes: 8192}).Bytes, uint32(8192))
+	is.Equal(*transfer(t, &message.Cancel{}), message.Cancel{})
+	is.Equal(*transfer(t, &message.Control{Topic: "report", Payload: []byte("x")}), message.Control{Topic: "report", Payload: []byte("x")})
+
+	head := amaranthtide.AnswerHead{Attempt: "t1", Server: "e1", Status: 200, Header: []amaranthtide.HeaderField{{Name: "A", Value: "b"}}}
+	is.Equal(transfer(t, message.NewHead(head)).Root(), head)
+}
+
+// Guards against a deadline that shifts with the clocks of two VMs, and against
+// a request that reaches the owner incomplete.
+func TestForwardCarriesRemainingTime(t *testing.T) {
+	is := is.New(t)
+	req := &amaranthtide.Request{
+		ID: "r", Attempt: "t", Workspace: "w", Chat: "c", Model: "m", Route: "o", Class: amaranthtide.ClassQuick, Weight: 3,
+		Key: "k", Cost: 100, Deadline: now.Add(1500 * time.Millisecond), Stream: true, Method: "POST", Path: "/p", Query: "q=1",
+		Header: []amaranthtide.HeaderField{{Name: "A", Value: "b"}}, Body: []byte("body"),
+	}
+	wire := transfer(t, message.NewForward(now, "e1", req, 32<<10))
+	is.Equal(wire.Window, uint32(32<<10))
+	later := now.Add(time.Hour)
+	server, got := wire.Root(later)
+	is.Equal(server, amaranthtide.BackendServerName("e1"))
+	is.Equal(got.Deadline, later.Add(1500*time.Millisecond))
+	got.Deadline = req.Deadline
+	is.Equal(got, req)
+
+	_, expired := message.NewForward(now.Add(time.Hour), "e1", req, 1).Root(later)
+	is.Equal(expired.Deadline, later.Add(time.Millisecond)) // not "no deadline"
+	req.Deadline = time.Time{}
+	_, open := message.NewForward(now, "e1", req, 1).Root(later)
+	is.True(open.Deadline.IsZero())
+}
+
+// Guards against an error that changes its kind on the way, such as "not run"
+// that becomes "unknown", or an unknown kind that becomes a clean end.
+func TestEndKeepsTheKind(t *testing.T) {
+	is := is.New(t)
+	for _, k := range amaranthtide.Kinds() {
+		err := transfer(t, message.NewEnd(3, amaranthtide.WithRetryAfter(amaranthtide.Errorf(k, "why"), 70*time.Millisecond))).Err()
+		is.Equal(amaranthtide.KindOf(err), k)
+		is.Equal(amaranthtide.RetryAfterOf(err), 70*time.Millisecond)
+		is.Equal(err.Error(), "why")
+	}
+	is.NoErr(transfer(t, message.NewEnd(3, nil)).Err())
+	is.Equal(amaranthtide.KindOf((&message.End{Kind: "fromTheFuture"}).Err()), amaranthtide.KindInternal)
+	is.Equal(amaranthtide.KindOf((&message.End{}).Err()), amaranthtide.KindInternal)
+	is.Equal(len(message.NewEnd(0, errors.New(strings.Repeat("ä", message.MaxErrorText))).Message), message.MaxErrorText)
+	data, err := msgpack.Marshal(map[string]any{"whole": true, "kind": "full"})
+	is.NoErr(err)
+	is.True(message.Decode(data, &message.End{}) != nil)
+}
+
+// Guards against input that exhausts stack or memory.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	_, err := message.Append(nil, &message.Forward{Body: make([]byte, message.MaxBody)})
+	is.NoErr(err)
+	_, err = message.Append(nil, &message.Forward{Body: make([]byte, message.MaxBody+1)})
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindTooLarge))
+	_, err = message.Append(nil, &message.Head{Header: []message.Field{{Value: strings.Repeat("x", message.MaxHeader+1)}}})
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindTooLarge))
+	_, err = message.Append(nil, &message.Forward{Chat: strings.Repeat("x", message.MaxName+1)})
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindBadRequest))
+
+	deep := append(bytes.Repeat([]byte{0x91}, message.MaxSize-1), 0xc0)
+	is.True(message.Decode(deep, &message.Report{}) != nil)
+	items, err := msgpack.Marshal(map[string]any{"loads": make([]any, message.MaxItems)})
+	is.NoErr(err)
+	is.True(message.Decode(items, &message.Report{}) != nil)
+	is.True(message.Decode([]byte{0x80, 0x80}, &message.Report{}) != nil) // trailing bytes
+}
+
+// Guards against a hand-made encoding that no msgpack decoder reads.
+func TestChunkIsMsgpack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offset := rapid.Uint64().Draw(t, "offset")
+		data := rapid.SliceOfN(rapid.Byte(), 0, 400).Draw(t, "data")
+		payload := message.AppendChunk(nil, offset, data)
+		if len(payload) != message.ChunkSize(offset, data) {
+			t.Fatalf("got: %d bytes, want: %d", len(payload), message.ChunkSize(offset, data))
+		}
+		var plain struct {
+			_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
+			Offset   uint64
+			Data     []byte
+		}
+		if err := msgpack.Unmarshal(payload, &plain); err != nil || plain.Offset != offset || !bytes.Equal(plain.Data, data) {
+			t.Fatalf("got: %v %v, want: %d %v", err, plain, offset, data)
+		}
+		gotOffset, got, err := message.DecodeChunk(payload)
+		if err != nil || gotOffset != offset || !bytes.Equal(got, data) {
+			t.Fatalf("got: %d %v %v, want: %d %v", gotOffset, got, err, offset, data)
+		}
+	})
+}
+
+// Guards against a panic on hostile input.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []message.Message{
+		message.NewReport(amaranthtide.Report{VM: "v", Loads: make([]amaranthtide.ServerLoad, 2)}),
+		message.NewDigest(amaranthtide.Digest{Live: []amaranthtide.VMName{"v"}, Loads: make([]amaranthtide.ServerLoad, 2)}),
+		message.NewForward(now, "e", &amaranthtide.Request{Header: make([]amaranthtide.HeaderField, 1), Body: []byte("b")}, 9),
+		message.NewEnd(1, errors.New("x")), &message.Changes{Entries: make([]message.Entry, 2)},
+		message.NewProof(make([]byte, message.NonceSize), netip.MustParseAddrPort("127.0.0.1:1")),
+	} {
+		data, err := message.Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add(message.AppendChunk(nil, 300, []byte("data")))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, m := range []message.Message{
+			&message.Report{}, &message.Digest{}, &message.Changes{}, &message.ChangesWanted{}, &message.Forward{},
+			&message.Window{}, &message.Cancel{}, &message.Head{}, &message.End{}, &message.Control{},
+			&message.Challenge{}, &message.Proof{}, &message.Welcome{},
+		} {
+			if message.Decode(data, m) != nil {
+				continue
+			}
+			// What was accepted must pass the sender's checks and convert.
+			if _, err := message.Append(nil, m); err != nil {
+				t.Errorf("%T was decoded, but not encoded: %v", m, err)
+			}
+			switch m := m.(type) {
+			case *message.Report:
+				_, _ = m.Root()
+			case *message.Changes:
+				_, _, _ = m.Root()
+			case *message.Forward:
+				_, _ = m.Root(now)
+			case *message.End:
+				_ = m.Err()
+			}
+		}
+		_, _, _ = message.DecodeChunk(data)
+	})
+}
