--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -159,13 +159,21 @@
 	if drained {
 		m.finishConnections()
 	}
+	// Connections go before the requests: an entry must see a break, whose outcome
+	// is unknown, and not the cancellation that follows here.
+	m.closeConnections()
 	m.cancel()
 	err := m.listener.Close()
+	// Handshakes that ended meanwhile; ready sees the end of ctx in later ones.
+	m.closeConnections()
+	m.wg.Wait()
+	return err
+}
+
+func (m *Mesh) closeConnections() {
 	for _, c := range m.allConnections() {
 		c.close(errClosed)
 	}
-	m.wg.Wait()
-	return err
 }
 
 // finishConnections ends the accepted connections in order and waits for them.
