--- /dev/null
+++ b/cmd/internal/daemon/daemon.go
@@ -0,0 +1,74 @@
+// Package daemon is the body of the program amaranthtided, apart from the program
+// so that scenario tests can run it as a process of its own.
+//
+// # Usage
+//
+//	func main() { daemon.Main() }
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide/protocol/settings"
+	"amaranthtide/transport/router"
+)
+
+const (
+	statusFailed      = 1
+	statusBadSettings = 2
+)
+
+// Main runs the program with the arguments of the process and ends the process.
+func Main() {
+	app := kingpin.New("amaranthtided", "Routes chats to model engines and calls to plain services.")
+	file := app.Flag("settings", "Settings file (INI).").Required().String()
+	check := app.Flag("check", "Print the settings in force and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	cfg, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(statusBadSettings)
+	}
+	if *check {
+		if err := cfg.Write(os.Stdout); err != nil {
+			os.Exit(statusFailed)
+		}
+		return
+	}
+	logger := newLogger(cfg.Log)
+	if err := run(cfg, logger); err != nil {
+		logger.Error("router failed", "error", err)
+		os.Exit(statusFailed)
+	}
+}
+
+func newLogger(cfg settings.Log) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       "amaranthtided",
+		Level:      hclog.LevelFromString(cfg.Level),
+		JSONFormat: cfg.JSON,
+		Output:     os.Stderr,
+	})
+}
+
+func run(cfg settings.Settings, logger hclog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	r, err := router.New(cfg, router.Options{Logger: logger})
+	if err != nil {
+		return err
+	}
+	logger.Info("router started", "vm", cfg.Router.VM, "zone", cfg.Router.Zone,
+		"callers", r.Callers(), "console", r.Console(), "listen", r.Listen())
+	<-ctx.Done()
+	stop()
+	return r.Close()
+}
--- a/cmd/standin/main_test.go
+++ b/cmd/internal/standins/main_test.go
@@ -1,4 +1,4 @@
-package main
+package standins
 
 import (
 	"bufio"
--- a/protocol/message/forward.go
+++ b/protocol/message/forward.go
@@ -22,6 +22,7 @@
 	// RemainingMillis is the time to the deadline; 0 means no deadline.
 	RemainingMillis uint32  `msgpack:"remainingMillis"`
 	Stream          bool    `msgpack:"stream"`
+	MayQueue        bool    `msgpack:"mayQueue"`
 	Method          string  `msgpack:"method"`
 	Path            string  `msgpack:"path"`
 	Query           string  `msgpack:"query"`
@@ -47,7 +48,7 @@
 		Server: string(server), ID: string(req.ID), Attempt: string(req.Attempt),
 		Workspace: string(req.Workspace), Chat: string(req.Chat), Model: string(req.Model),
 		Route: string(req.Route), Class: string(req.Class), Weight: clampCount(req.Weight),
-		Key: string(req.Key), Cost: clampCount(req.Cost), Stream: req.Stream,
+		Key: string(req.Key), Cost: clampCount(req.Cost), Stream: req.Stream, MayQueue: req.MayQueue,
 		Method: req.Method, Path: req.Path, Query: req.Query,
 		Header: newFields(req.Header), Body: req.Body, Window: clampCount(window),
 	}
@@ -64,7 +65,7 @@
 		Workspace: amaranthtide.WorkspaceName(m.Workspace), Chat: amaranthtide.ChatID(m.Chat),
 		Model: amaranthtide.ModelName(m.Model), Route: amaranthtide.RouteName(m.Route),
 		Class: amaranthtide.Class(m.Class), Weight: int(m.Weight),
-		Key: amaranthtide.IdempotencyKey(m.Key), Cost: int(m.Cost), Stream: m.Stream,
+		Key: amaranthtide.IdempotencyKey(m.Key), Cost: int(m.Cost), Stream: m.Stream, MayQueue: m.MayQueue,
 		Method: m.Method, Path: m.Path, Query: m.Query,
 		Header: rootFields(m.Header), Body: m.Body,
 	}
--- a/request.go
+++ b/request.go
@@ -26,6 +26,9 @@
 	Deadline time.Time
 	// Stream tells whether a chat completion is streamed.
 	Stream bool
+	// MayQueue tells the owner whether the request may wait for a slot. If not, the
+	// owner refuses it as KindFull when it can't start at once.
+	MayQueue bool
 	// Method, Path and Query are the HTTP request line towards a plain service.
 	Method string
 	Path   string
--- a/state/table/get.go
+++ b/state/table/get.go
@@ -57,3 +57,13 @@
 
 // Zones returns all zones, ordered by name, whether in service or not.
 func (t *Table) Zones() []amaranthtide.Row { return t.content.Load().index.Load().zones }
+
+// Models returns the names of all models in rising order.
+func (t *Table) Models() []amaranthtide.ModelName {
+	rows := t.Rows(amaranthtide.RowModel)
+	names := make([]amaranthtide.ModelName, len(rows))
+	for i, r := range rows {
+		names[i] = amaranthtide.ModelName(r.Key.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/transport/control/control.go
@@ -0,0 +1,299 @@
+// Package control exchanges reports and digests between routers and answers, from
+// what they say, who is live, who owns a backend server and how loaded each is.
+//
+// Every router reports to the routers of its zone. The first two live routers of a
+// zone, its contacts, also send a digest of the zone to the contacts of the other
+// zones, which pass it on inside their own zone.
+//
+// # Usage
+//
+//	c := control.New(control.Options{VM: "vm-1", Zone: "a", Mesh: m, Table: t, Ledger: l, Loads: owner.Loads})
+//	if err := c.Start(); err != nil {
+//		return err
+//	}
+//	defer c.Close()
+//	owner, ok := c.Owner(now, "engine-1")
+//
+// A Control is concurrent-safe.
+package control
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/membership"
+	"amaranthtide/protocol/message"
+	"amaranthtide/state/load"
+	"amaranthtide/state/roster"
+	"amaranthtide/state/shard"
+	"amaranthtide/state/table"
+)
+
+// Mesh is the part of transport/mesh that a Control uses.
+type Mesh interface {
+	Publisher() watermill.Publisher
+	Subscriber() watermill.Subscriber
+}
+
+// Options are the parts that a Control works with. All but Logger are required.
+type Options struct {
+	VM      amaranthtide.VMName
+	Zone    amaranthtide.ZoneName
+	Address netip.AddrPort
+	// Incarnation must be higher than that of any earlier process on this VM.
+	Incarnation amaranthtide.Incarnation
+	// Seeds are routers known from the settings; their names are unknown.
+	Seeds []netip.AddrPort
+	// BytesPerSecond paces the reports.
+	BytesPerSecond int
+	// DigestInterval is the time between digests to other zones.
+	DigestInterval time.Duration
+
+	Mesh   Mesh
+	Table  *table.Table
+	Ledger *load.Ledger
+	// Loads returns the loads of the backend servers that this router works for.
+	Loads func(now time.Time) []amaranthtide.ServerLoad
+	// Behind is called when a peer has a newer revision of the table.
+	Behind func(peer netip.AddrPort, revision amaranthtide.Revision)
+	Logger hclog.Logger
+}
+
+// known is the load of a server as this router last heard of it.
+type known struct {
+	load     amaranthtide.ServerLoad
+	from     amaranthtide.VMName
+	received time.Time
+}
+
+// Control holds the membership view and the loop that keeps it up to date.
+type Control struct {
+	opts   Options
+	roster *roster.Roster
+	loads  *shard.Map[amaranthtide.BackendServerName, known]
+
+	// mu guards view, which decisions of all requests ask. A decision takes about
+	// a microsecond.
+	mu         sync.Mutex
+	view       *membership.View
+	leaving    bool
+	listed     map[amaranthtide.VMName]amaranthtide.ListedVM
+	sequence   uint64
+	reportSize int
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// transit bounds the age of a report on arrival. Reports wait in no queue for
+// longer than it takes to write the few frames before them.
+const transit = 50 * time.Millisecond
+
+// firstReportSize is assumed until a report was encoded.
+const firstReportSize = 200
+
+// New returns a Control that does nothing until Start.
+func New(opts Options) *Control {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Control{
+		opts:       opts,
+		roster:     roster.New(),
+		loads:      shard.New[amaranthtide.BackendServerName, known](),
+		view:       membership.New(time.Now(), membership.Config{Self: opts.VM, Zone: opts.Zone}, membership.Interval(1, firstReportSize, opts.BytesPerSecond)),
+		reportSize: firstReportSize,
+		ctx:        ctx,
+		cancel:     cancel,
+	}
+}
+
+// Start subscribes to reports and digests and begins to send them.
+func (c *Control) Start() error {
+	sub := c.opts.Mesh.Subscriber()
+	reports, err := sub.Subscribe(c.ctx, message.TopicReport)
+	if err != nil {
+		return err
+	}
+	digests, err := sub.Subscribe(c.ctx, message.TopicDigest)
+	if err != nil {
+		return err
+	}
+	c.wg.Go(func() { c.loopReports(reports) })
+	c.wg.Go(func() { c.loopDigests(digests) })
+	c.wg.Go(c.run)
+	return nil
+}
+
+// Close stops the exchange and waits for its goroutines.
+func (c *Control) Close() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// run sends reports and digests until Close.
+func (c *Control) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var lastDigest time.Time
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		timer.Reset(c.sendReport(now))
+		if now.Sub(lastDigest) >= c.opts.DigestInterval {
+			c.sendDigest(now)
+			lastDigest = now
+		}
+		c.roster.Forget(now.Add(-forgetAfter))
+	}
+}
+
+// forgetAfter is far beyond every time for which a report is used.
+const forgetAfter = time.Minute
+
+// Leave tells the other routers that this one shuts down and owns nothing any more.
+func (c *Control) Leave(now time.Time) {
+	c.mu.Lock()
+	c.view.Leave(now)
+	c.leaving = true
+	c.mu.Unlock()
+	c.sendReport(now)
+}
+
+// List takes in the platform's list of routers.
+func (c *Control) List(now time.Time, vms []amaranthtide.ListedVM) {
+	listed := make(map[amaranthtide.VMName]amaranthtide.ListedVM, len(vms))
+	for _, vm := range vms {
+		listed[vm.Name] = vm
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = listed
+	c.view.List(now, vms)
+}
+
+// TableChanged takes in which VMs and zones are out of service.
+func (c *Control) TableChanged(now time.Time) {
+	revision := c.opts.Table.Revision()
+	out := amaranthtide.NewSet[amaranthtide.VMName]()
+	for _, row := range c.opts.Table.Rows(amaranthtide.RowVM) {
+		if vm, ok := row.Value.(amaranthtide.VM); ok && vm.OutOfService {
+			out.Add(amaranthtide.VMName(row.Key.Name))
+		}
+	}
+	zone, _ := c.opts.Table.Zone(c.opts.Zone)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.SetOutOfService(now, revision, out, zone.OutOfService)
+}
+
+// Owner returns the owner of a server of this zone, as membership.View.Owner.
+func (c *Control) Owner(now time.Time, server amaranthtide.BackendServerName) (amaranthtide.VMName, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Owner(now, server)
+}
+
+// Owns reports whether this router owns the server and whether that is settled.
+func (c *Control) Owns(now time.Time, server amaranthtide.BackendServerName) (owns, settled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	owner, ok := c.view.Owner(now, server)
+	if !ok || owner != c.opts.VM {
+		return false, false
+	}
+	return true, c.view.Settled(now, server)
+}
+
+// Live returns the live routers of this zone.
+func (c *Control) Live(now time.Time) []amaranthtide.VMName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Live(now)
+}
+
+// LiveIn returns the live routers of a zone and whether the zone is reachable.
+func (c *Control) LiveIn(now time.Time, zone amaranthtide.ZoneName) ([]amaranthtide.VMName, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.LiveIn(now, zone)
+}
+
+// Contacts returns the contacts of a zone.
+func (c *Control) Contacts(now time.Time, zone amaranthtide.ZoneName) []membership.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Contacts(now, zone)
+}
+
+// IsContact reports whether this router is a contact and reader of its zone, and
+// whether it is the first.
+func (c *Control) IsContact(now time.Time) (contact, first bool) {
+	for i, p := range c.Contacts(now, c.opts.Zone) {
+		if p.Name == c.opts.VM {
+			return true, i == 0
+		}
+	}
+	return false, false
+}
+
+// Peers returns the routers of this zone that this one talks to.
+func (c *Control) Peers(now time.Time) []membership.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Peers(now)
+}
+
+// Address returns where a router is reached: by its own report, by its row in the
+// table or by the platform's list.
+func (c *Control) Address(vm amaranthtide.VMName) (netip.AddrPort, bool) {
+	if p, ok := c.roster.Peer(vm); ok {
+		return p.Report.Address, true
+	}
+	if row, ok := c.opts.Table.VM(vm); ok {
+		return row.Address, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entry, ok := c.listed[vm]
+	return entry.Address, ok
+}
+
+// Leaving reports whether the platform's list says that a backend server leaves.
+func (c *Control) Leaving(server amaranthtide.BackendServerName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed[amaranthtide.VMName(server)].Leaving
+}
+
+// Load returns the last known load of a server and when it was received; the time
+// is zero if nothing is known.
+func (c *Control) Load(server amaranthtide.BackendServerName) (amaranthtide.ServerLoad, time.Time) {
+	k, _ := c.loads.Get(server)
+	return k.load, k.received
+}
+
+// Resumable returns the allowance that another router reported for a server not
+// longer ago than age, for a new owner to go on from.
+func (c *Control) Resumable(now time.Time, server amaranthtide.BackendServerName, age time.Duration) (amaranthtide.ServerLoad, bool) {
+	k, ok := c.loads.Get(server)
+	if !ok || k.load.Boot == "" || now.Sub(k.received) > age {
+		return amaranthtide.ServerLoad{}, false
+	}
+	return k.load, true
+}
+
+// Roster returns what other routers last reported.
+func (c *Control) Roster() *roster.Roster { return c.roster }
--- /dev/null
+++ b/transport/dispatch/dispatcher.go
@@ -0,0 +1,172 @@
+// Package dispatch serves callers' requests with the fleet: for each request it
+// asks the plan for the next backend server, finds its owner and forwards the
+// request there, or serves it itself if this router is the owner.
+//
+// # Usage
+//
+//	d := dispatch.New(dispatch.Options{VM: "vm-1", Zone: "a", Table: t, Ledger: l, Control: c,
+//		Owner: o, Forwarder: m, Policy: rendezvous.Policy{}})
+//	err := d.Serve(ctx, req, w)
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/coordination/quota"
+	"amaranthtide/coordination/retry"
+	"amaranthtide/coordination/route"
+	"amaranthtide/state/load"
+	"amaranthtide/state/shard"
+	"amaranthtide/state/table"
+)
+
+// Control tells a Dispatcher who owns what and how loaded it is.
+type Control interface {
+	Owner(now time.Time, server amaranthtide.BackendServerName) (amaranthtide.VMName, bool)
+	LiveIn(now time.Time, zone amaranthtide.ZoneName) ([]amaranthtide.VMName, bool)
+	Live(now time.Time) []amaranthtide.VMName
+	Address(vm amaranthtide.VMName) (netip.AddrPort, bool)
+	Load(server amaranthtide.BackendServerName) (amaranthtide.ServerLoad, time.Time)
+	Leaving(server amaranthtide.BackendServerName) bool
+}
+
+// Options are the parts that a Dispatcher works with. All but Logger are required.
+type Options struct {
+	VM        amaranthtide.VMName
+	Zone      amaranthtide.ZoneName
+	Table     *table.Table
+	Ledger    *load.Ledger
+	Control   Control
+	Owner     amaranthtide.Owner
+	Forwarder amaranthtide.Forwarder
+	Policy    amaranthtide.Policy
+	Logger    hclog.Logger
+}
+
+// Dispatcher implements amaranthtide.Service. It is concurrent-safe.
+type Dispatcher struct {
+	opts       Options
+	workspaces *shard.Map[amaranthtide.WorkspaceName, *allowance]
+}
+
+// allowance is what one workspace may do at this entry.
+type allowance struct {
+	limiter quota.Limiter
+	budget  retry.Budget
+}
+
+var _ amaranthtide.Service = (*Dispatcher)(nil)
+
+// New returns a Dispatcher.
+func New(opts Options) *Dispatcher {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	return &Dispatcher{
+		opts:       opts,
+		workspaces: shard.New[amaranthtide.WorkspaceName, *allowance](),
+	}
+}
+
+// Serve implements amaranthtide.Service. It sets req.Attempt to that of the last
+// attempt.
+func (d *Dispatcher) Serve(ctx context.Context, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	now := time.Now()
+	if err := d.enter(now, req.Workspace); err != nil {
+		return err
+	}
+	defer d.leave(req.Workspace)
+	plan := route.New(route.Config{
+		Request:   req,
+		Zones:     d.zones(now, req),
+		Policy:    d.opts.Policy,
+		InService: d.inService,
+		Retry:     func() bool { return d.takeRetry(req.Workspace) },
+	})
+	for {
+		target, err := plan.Next(time.Now())
+		if err != nil {
+			return err
+		}
+		req.Attempt = amaranthtide.NewAttemptID()
+		aw := &attemptWriter{AnswerWriter: w, attempt: req.Attempt}
+		err = d.try(ctx, target, req, aw)
+		if err == nil {
+			return nil
+		}
+		d.opts.Logger.Debug("attempt failed", "request", req.ID, "attempt", req.Attempt, "workspace", req.Workspace,
+			"server", target.Server, "kind", amaranthtide.KindOf(err), "error", err)
+		if aw.shown {
+			plan.Failed(time.Now(), err, true)
+			continue
+		}
+		plan.Refused(time.Now(), err, amaranthtide.None[amaranthtide.VMName]())
+	}
+}
+
+// try sends the request to the owner of the target.
+func (d *Dispatcher) try(ctx context.Context, target route.Target, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	attempt := *req
+	attempt.MayQueue = target.MayQueue
+	vm, addr, err := d.owner(time.Now(), target)
+	if err != nil {
+		return err
+	}
+	if vm == d.opts.VM {
+		return d.opts.Owner.Serve(ctx, target.Server, &attempt, w)
+	}
+	return d.opts.Forwarder.Forward(ctx, addr, target.Server, &attempt, w)
+}
+
+// owner returns the owner of the target's server and where it is reached.
+func (d *Dispatcher) owner(now time.Time, target route.Target) (amaranthtide.VMName, netip.AddrPort, error) {
+	vm, ok := target.Owner.Get()
+	if !ok {
+		vm, ok = d.ownerInView(now, target)
+	}
+	if !ok {
+		return "", netip.AddrPort{}, amaranthtide.Errorf(amaranthtide.KindNoBackend, "no live router owns %s", target.Server)
+	}
+	if vm == d.opts.VM {
+		return vm, netip.AddrPort{}, nil
+	}
+	addr, ok := d.opts.Control.Address(vm)
+	if !ok {
+		return "", netip.AddrPort{}, amaranthtide.Errorf(amaranthtide.KindNoBackend, "the address of router %s is not known", vm)
+	}
+	return vm, addr, nil
+}
+
+func (d *Dispatcher) ownerInView(now time.Time, target route.Target) (amaranthtide.VMName, bool) {
+	if target.Zone == d.opts.Zone {
+		return d.opts.Control.Owner(now, target.Server)
+	}
+	live, ok := d.opts.Control.LiveIn(now, target.Zone)
+	if !ok {
+		return "", false
+	}
+	return placement.Owner(target.Server, live)
+}
+
+// attemptWriter checks that an answer is that of its attempt.
+type attemptWriter struct {
+	amaranthtide.AnswerWriter
+	attempt amaranthtide.AttemptID
+	// shown tells whether the caller has seen any part of the answer.
+	shown bool
+}
+
+// Head implements amaranthtide.AnswerWriter.
+func (a *attemptWriter) Head(h amaranthtide.AnswerHead) error {
+	if h.Attempt != a.attempt {
+		return amaranthtide.Errorf(amaranthtide.KindInternal, "answer of attempt %s, want %s", h.Attempt, a.attempt)
+	}
+	a.shown = true
+	return a.AnswerWriter.Head(h)
+}
--- /dev/null
+++ b/transport/editor/editor.go
@@ -0,0 +1,71 @@
+// Package editor commits operators' changes of the configuration table.
+//
+// # Usage
+//
+//	e := editor.New(editor.Options{Table: platform, Spread: spreader})
+//	result := e.Apply(ctx, "alice", edits)
+package editor
+
+import (
+	"context"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/change"
+)
+
+// TableCaller makes calls to the table service.
+type TableCaller interface {
+	Do(ctx context.Context, call amaranthtide.TableCall) amaranthtide.TableResult
+}
+
+// Spread takes in changes that were committed here.
+type Spread interface {
+	Push(changes []amaranthtide.Change)
+}
+
+// Options are the parts that an Editor works with. All are required.
+type Options struct {
+	Table  TableCaller
+	Spread Spread
+}
+
+// Editor is concurrent-safe.
+type Editor struct{ opts Options }
+
+// New returns an Editor.
+func New(opts Options) *Editor { return &Editor{opts} }
+
+// Apply commits the edits of one operator together or not at all.
+func (e *Editor) Apply(ctx context.Context, operator amaranthtide.OperatorName, edits []amaranthtide.Edit) change.Result {
+	now := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(defaultPatience)
+	}
+	m := change.New(change.Config{Operator: operator, Edits: edits, Token: amaranthtide.NewToken(), Deadline: deadline})
+	step := m.Start(now)
+	for {
+		result, done := step.Result.Get()
+		if done {
+			e.opts.Spread.Push(result.Changes)
+			return result
+		}
+		sleep(ctx, step.Wait)
+		step = m.Next(time.Now(), e.opts.Table.Do(ctx, step.Call))
+	}
+}
+
+const defaultPatience = 10 * time.Second
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/transport/entry/handler.go
@@ -0,0 +1,321 @@
+// Package entry serves callers over HTTP: chat completions as common client
+// libraries send them, and plain services by path.
+//
+// # Usage
+//
+//	h := entry.New(entry.Options{Directory: table, Service: dispatcher, Logger: logger})
+//	srv := &http.Server{Handler: h, MaxHeaderBytes: entry.MaxHeaderBytes}
+//
+// # Caller API
+//
+//	POST /v1/chat/completions   chat completions, streamed or not
+//	GET  /v1/models             the models that workspaces may use
+//	ANY  /services/{route}/*    plain services
+//
+// The workspace comes from the bearer token, "<workspace>" or
+// "<workspace>.<secret>". A chat is named by the header Amaranthtide-Chat, else by
+// the body's prompt_cache_key, else by its user, else by its first messages. A
+// request that may not be repeated carries an Idempotency-Key.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/protocol/completion"
+	"amaranthtide/protocol/reply"
+)
+
+// MaxHeaderBytes bounds the header of a caller's request.
+const MaxHeaderBytes = 64 << 10
+
+const (
+	defaultMaxBody = 4 << 20
+	maxKeyLength   = 128
+	maxChatLength  = 256
+)
+
+// Options are the parts that a Handler works with.
+type Options struct {
+	// Directory holds the workspaces, models and routes. Required.
+	Directory amaranthtide.Directory
+	// Service serves the requests. Required.
+	Service amaranthtide.Service
+	// Logger gets a line per failed request; nil logs nothing.
+	Logger hclog.Logger
+	// MaxBodyBytes bounds a request's body; 0 is 4 MiB.
+	MaxBodyBytes int
+	// Observe is called at the end of each request with its result; may be nil.
+	Observe func(req *amaranthtide.Request, took time.Duration, err error)
+}
+
+// Handler is the caller-facing HTTP handler. It is concurrent-safe.
+type Handler struct {
+	opts   Options
+	router chi.Router
+}
+
+// New returns a Handler.
+func New(opts Options) *Handler {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	if opts.MaxBodyBytes == 0 {
+		opts.MaxBodyBytes = defaultMaxBody
+	}
+	if opts.Observe == nil {
+		opts.Observe = func(*amaranthtide.Request, time.Duration, error) {}
+	}
+	h := &Handler{opts: opts, router: chi.NewRouter()}
+	h.router.Post("/v1/chat/completions", h.serveCompletion)
+	h.router.Get("/v1/models", h.serveModels)
+	h.router.HandleFunc("/services/{route}", h.serveRoute)
+	h.router.HandleFunc("/services/{route}/*", h.serveRoute)
+	h.router.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		h.refuse(w, amaranthtide.Errorf(amaranthtide.KindUnknownRoute, "no such path: %s", r.URL.Path))
+	})
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+func (h *Handler) serveModels(w http.ResponseWriter, r *http.Request) {
+	if _, _, err := h.authenticate(r); err != nil {
+		h.refuse(w, err)
+		return
+	}
+	type model struct {
+		ID     amaranthtide.ModelName `json:"id"`
+		Object string                 `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, name := range h.opts.Directory.Models() {
+		list.Data = append(list.Data, model{name, "model"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	req, err := h.completionRequest(w, r)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	h.serve(w, r, req)
+}
+
+func (h *Handler) serveRoute(w http.ResponseWriter, r *http.Request) {
+	req, err := h.routeRequest(w, r)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	h.serve(w, r, req)
+}
+
+func (h *Handler) completionRequest(w http.ResponseWriter, r *http.Request) (*amaranthtide.Request, error) {
+	req, ws, err := h.newRequest(w, r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := completion.Parse(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	req.Model = body.Model
+	if req.Model == "" {
+		req.Model = ws.Model
+	}
+	if _, ok := h.opts.Directory.Model(req.Model); !ok {
+		return nil, amaranthtide.Errorf(amaranthtide.KindUnknownModel, "model %q is not known", req.Model)
+	}
+	req.Stream = body.Stream
+	req.Cost = body.Cost
+	req.Chat = chatOf(req.Chat, body)
+	return req, nil
+}
+
+// chatOf returns the chat that the header names, or else the one that the body implies.
+func chatOf(named amaranthtide.ChatID, body completion.Request) amaranthtide.ChatID {
+	for _, chat := range []string{string(named), body.PromptCacheKey, body.User} {
+		if chat != "" {
+			return amaranthtide.ChatID(chat)
+		}
+	}
+	return body.DerivedChat()
+}
+
+func (h *Handler) routeRequest(w http.ResponseWriter, r *http.Request) (*amaranthtide.Request, error) {
+	name := amaranthtide.RouteName(chi.URLParam(r, "route"))
+	route, ok := h.opts.Directory.Route(name)
+	if !ok {
+		return nil, amaranthtide.Errorf(amaranthtide.KindUnknownRoute, "route %q is not known", name)
+	}
+	req, _, err := h.newRequest(w, r)
+	if err != nil {
+		return nil, err
+	}
+	req.Route = name
+	req.Path = "/" + chi.URLParam(r, "*")
+	req.Query = r.URL.RawQuery
+	req.Cost = 1
+	if req.Key, err = idempotencyKey(r, route); err != nil {
+		return nil, err
+	}
+	if req.Chat == "" {
+		req.Chat = amaranthtide.ChatID(req.Key)
+	}
+	if req.Chat == "" {
+		req.Chat = amaranthtide.ChatID(req.ID)
+	}
+	return req, nil
+}
+
+// idempotencyKey returns the key of a request that may not be repeated. A key on
+// a repeatable route is passed on in the header but does not bind the router.
+func idempotencyKey(r *http.Request, route amaranthtide.Route) (amaranthtide.IdempotencyKey, error) {
+	if route.Repeatable {
+		return "", nil
+	}
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" {
+		return "", amaranthtide.Errorf(amaranthtide.KindKeyMissing, "this route needs an Idempotency-Key header")
+	}
+	if len(key) > maxKeyLength {
+		return "", amaranthtide.Errorf(amaranthtide.KindBadRequest, "Idempotency-Key is longer than %d bytes", maxKeyLength)
+	}
+	return amaranthtide.IdempotencyKey(key), nil
+}
+
+// newRequest fills in what both kinds of requests have in common.
+func (h *Handler) newRequest(w http.ResponseWriter, r *http.Request) (*amaranthtide.Request, amaranthtide.Workspace, error) {
+	name, ws, err := h.authenticate(r)
+	if err != nil {
+		return nil, ws, err
+	}
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return nil, ws, err
+	}
+	timeout, err := requestTimeout(r, ws)
+	if err != nil {
+		return nil, ws, err
+	}
+	class, err := requestClass(r, ws)
+	if err != nil {
+		return nil, ws, err
+	}
+	chat := r.Header.Get("Amaranthtide-Chat")
+	if len(chat) > maxChatLength {
+		return nil, ws, amaranthtide.Errorf(amaranthtide.KindBadRequest, "Amaranthtide-Chat is longer than %d bytes", maxChatLength)
+	}
+	return &amaranthtide.Request{
+		ID:        amaranthtide.NewRequestID(),
+		Workspace: name,
+		Chat:      amaranthtide.ChatID(chat),
+		Class:     class,
+		Weight:    ws.Weight,
+		Deadline:  time.Now().Add(timeout),
+		Method:    r.Method,
+		Header:    forwardedHeader(r.Header),
+		Body:      body,
+	}, ws, nil
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(h.opts.MaxBodyBytes)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, amaranthtide.Errorf(amaranthtide.KindTooLarge, "the body exceeds %d bytes", h.opts.MaxBodyBytes)
+	}
+	if err != nil {
+		return nil, amaranthtide.Errorf(amaranthtide.KindBadRequest, "read the body: %w", err)
+	}
+	return body, nil
+}
+
+const maxTimeout = time.Hour
+
+func requestTimeout(r *http.Request, ws amaranthtide.Workspace) (time.Duration, error) {
+	text := r.Header.Get("Amaranthtide-Timeout-Millis")
+	if text == "" {
+		if ws.Timeout > 0 {
+			return time.Duration(ws.Timeout), nil
+		}
+		return amaranthtide.DefaultTimeout, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis < 1 || millis > maxTimeout.Milliseconds() {
+		return 0, amaranthtide.Errorf(amaranthtide.KindBadRequest,
+			"Amaranthtide-Timeout-Millis is %q; allowed: 1 to %d", text, maxTimeout.Milliseconds())
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+func requestClass(r *http.Request, ws amaranthtide.Workspace) (amaranthtide.Class, error) {
+	class := amaranthtide.Class(r.Header.Get("Amaranthtide-Class"))
+	if class == "" {
+		class = ws.Class
+	}
+	switch class {
+	case "":
+		return amaranthtide.ClassStandard, nil
+	case amaranthtide.ClassQuick, amaranthtide.ClassStandard:
+		return class, nil
+	default:
+		return "", amaranthtide.Errorf(amaranthtide.KindBadRequest, "Amaranthtide-Class is %q; allowed: quick, standard", class)
+	}
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, req *amaranthtide.Request) {
+	ctx, cancel := h.requestContext(r, req)
+	defer cancel()
+	began := time.Now()
+	aw := newAnswerWriter(w, req)
+	err := h.opts.Service.Serve(ctx, req, aw)
+	h.opts.Observe(req, time.Since(began), err)
+	if err == nil {
+		return
+	}
+	h.opts.Logger.Info("request failed", "request", req.ID, "attempt", req.Attempt, "workspace", req.Workspace,
+		"model", req.Model, "route", req.Route, "kind", amaranthtide.KindOf(err), "error", err)
+	if !aw.begun {
+		w.Header().Set("Amaranthtide-Request", string(req.ID))
+		h.refuse(w, err)
+		return
+	}
+	aw.fail(err)
+}
+
+// requestContext ends with the caller's connection, except for a request that may
+// not be repeated: its result must be stored even if the caller has gone.
+func (h *Handler) requestContext(r *http.Request, req *amaranthtide.Request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if !req.Repeatable() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, req.Deadline)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	if seconds, ok := reply.RetryAfterSeconds(err); ok {
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(reply.Status(err))
+	_, _ = w.Write(reply.New(err).JSON())
+}
--- /dev/null
+++ b/transport/owner/loop.go
@@ -0,0 +1,165 @@
+package owner
+
+import (
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/admission"
+	"amaranthtide/state/load"
+)
+
+// tick is the time between looks at queues while requests wait. Reports of other
+// routers, steps of ramps and deadlines free room without any call of this Owner.
+const tick = 20 * time.Millisecond
+
+func (o *Owner) notify() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run looks at the queues while requests wait, and sleeps otherwise.
+func (o *Owner) run() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.wake:
+		}
+		for o.sweep(time.Now()) {
+			select {
+			case <-o.ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}
+}
+
+// sweep starts and refuses what it can at all servers and reports whether requests
+// still wait.
+func (o *Owner) sweep(now time.Time) bool {
+	var waiting []amaranthtide.BackendServerName
+	o.gates.Range(func(server amaranthtide.BackendServerName, s *station) bool {
+		if s.gate.Waiting() > 0 {
+			waiting = append(waiting, server)
+		}
+		return true
+	})
+	left := false
+	for _, server := range waiting {
+		_ = o.update(now, server, func(_ time.Time, s *station) { left = left || s.gate.Waiting() > 0 })
+	}
+	return left
+}
+
+// update runs f at a server that has a gate, after starting what may start. It
+// reports whether there is one.
+func (o *Owner) update(now time.Time, server amaranthtide.BackendServerName, f func(now time.Time, s *station)) bool {
+	row, inTable := o.opts.Table.BackendServer(server)
+	owns, settled := o.opts.Control.Owns(now, server)
+	owns = owns && inTable
+	found := false
+	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
+		if !ok {
+			return nil, false
+		}
+		found = true
+		s.gate.SetOwned(now, owns)
+		s.gate.SetLeaving(o.leaving(now, s, server, row))
+		model, _ := o.opts.Table.Model(s.model)
+		o.opts.Ledger.Update(now, s.model, server, func(v load.View) int {
+			if !s.downUntil.IsZero() && s.model == "" && now.After(s.downUntil) {
+				s.gate.SetDown(false)
+				s.downUntil = time.Time{}
+			}
+			s.startNext(now, o.limits(now, s, v, model, settled))
+			f(now, s)
+			return s.gate.InFlight()
+		})
+		// A gate that lost its server goes when its last request has finished.
+		return s, owns || s.gate.InFlight() > 0 || s.gate.Waiting() > 0
+	})
+	return found
+}
+
+// Loads returns the loads of the servers that this router owns or still works for.
+func (o *Owner) Loads(now time.Time) []amaranthtide.ServerLoad {
+	var loads []amaranthtide.ServerLoad
+	o.gates.Range(func(_ amaranthtide.BackendServerName, s *station) bool {
+		loads = append(loads, s.gate.Load(now))
+		return true
+	})
+	return loads
+}
+
+// Status is the state of one server as its owner sees it.
+type Status struct {
+	Load    amaranthtide.ServerLoad
+	Waiting int
+	Limit   int
+	Owned   bool
+	Settled bool
+}
+
+// Statuses returns the state of the servers that have a gate here.
+func (o *Owner) Statuses(now time.Time) []Status {
+	var all []Status
+	for _, l := range o.Loads(now) {
+		st := Status{Load: l, Limit: l.Allowance}
+		st.Owned, st.Settled = o.opts.Control.Owns(now, l.Server)
+		o.gates.With(l.Server, func(s *station, ok bool) {
+			if ok {
+				st.Waiting = s.gate.Waiting()
+			}
+		})
+		all = append(all, st)
+	}
+	return all
+}
+
+// Watch makes sure that each owned server has a gate, so that its load is probed
+// and reported before the first request, and lets go of those that are lost. It
+// returns the owned servers that report their load.
+func (o *Owner) Watch(now time.Time) []amaranthtide.BackendServerName {
+	var probed []amaranthtide.BackendServerName
+	for _, row := range o.opts.Table.Rows(amaranthtide.RowBackendServer) {
+		server := amaranthtide.BackendServerName(row.Key.Name)
+		value, ok := row.Value.(amaranthtide.BackendServer)
+		if !ok || value.Zone != o.opts.Zone {
+			continue
+		}
+		if owns, _ := o.opts.Control.Owns(now, server); !owns {
+			continue
+		}
+		_ = o.decide(now, server, value, func(time.Time, *station, admission.Limits) error { return nil })
+		if value.Model != "" {
+			probed = append(probed, server)
+		}
+	}
+	var held []amaranthtide.BackendServerName
+	o.gates.Range(func(server amaranthtide.BackendServerName, _ *station) bool {
+		held = append(held, server)
+		return true
+	})
+	for _, server := range held {
+		o.update(now, server, func(time.Time, *station) {})
+	}
+	return probed
+}
+
+// Probed takes in the outcome of a load probe that was sent at the time asked.
+func (o *Owner) Probed(asked time.Time, server amaranthtide.BackendServerName, r amaranthtide.EngineReport, err error) {
+	o.update(time.Now(), server, func(now time.Time, s *station) {
+		if err != nil {
+			s.gate.SetDown(true)
+			return
+		}
+		s.gate.SetDown(false)
+		s.gate.Observe(now, asked, r)
+	})
+	o.notify()
+}
--- /dev/null
+++ b/transport/owner/send.go
@@ -0,0 +1,86 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/admission"
+)
+
+// downHold is how long a plain service that refused a connection gets no requests.
+// Plain services have no load report that would tell when they are back.
+const downHold = time.Second
+
+// leavingHold is how long a server that refused a request as leaving gets no
+// others. Engines say in their next load report that they leave.
+const leavingHold = 3 * time.Second
+
+// send sends an admitted request and frees its slot at the end.
+func (o *Owner) send(ctx context.Context, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	began := time.Now()
+	cw := &countingWriter{AnswerWriter: w, server: server}
+	err := o.dispatch(ctx, row, req, cw)
+	o.finish(server, row, req, admission.Outcome{Whole: err == nil, Tokens: cw.tokens, Took: time.Since(began)}, err)
+	return err
+}
+
+func (o *Owner) dispatch(ctx context.Context, row amaranthtide.BackendServer, req *amaranthtide.Request, w *countingWriter) error {
+	if req.Repeatable() {
+		err := o.backend(row).Serve(ctx, row.Address, req, w)
+		o.opts.Observe(req, err)
+		return err
+	}
+	return o.opts.Claims.Serve(ctx, req, w, func(ctx context.Context, w amaranthtide.AnswerWriter) error {
+		err := o.backend(row).Serve(ctx, row.Address, req, w)
+		o.opts.Observe(req, err)
+		return err
+	})
+}
+
+func (o *Owner) backend(row amaranthtide.BackendServer) amaranthtide.Backend {
+	if row.Model != "" {
+		return o.opts.Engines
+	}
+	return o.opts.Services
+}
+
+// finish frees the slot of a request and starts what may start.
+func (o *Owner) finish(server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request, outcome admission.Outcome, err error) {
+	_ = o.decide(time.Now(), server, row, func(now time.Time, s *station, _ admission.Limits) error {
+		s.gate.Finish(now, req.Attempt, outcome)
+		switch amaranthtide.KindOf(err) {
+		case amaranthtide.KindNoBackend:
+			s.gate.SetDown(true)
+			s.downUntil = now.Add(downHold)
+		case amaranthtide.KindLeaving:
+			s.refusedUntil = now.Add(leavingHold)
+			s.gate.SetLeaving(true)
+		}
+		return nil
+	})
+	o.notify()
+}
+
+// countingWriter counts the events of a stream, each of which is about a token,
+// and names the server in the head.
+type countingWriter struct {
+	amaranthtide.AnswerWriter
+	server amaranthtide.BackendServerName
+	tokens int
+}
+
+var eventEnd = []byte("\n\n")
+
+// Head implements amaranthtide.AnswerWriter.
+func (c *countingWriter) Head(h amaranthtide.AnswerHead) error {
+	h.Server = c.server
+	return c.AnswerWriter.Head(h)
+}
+
+// Chunk implements amaranthtide.AnswerWriter.
+func (c *countingWriter) Chunk(b []byte) error {
+	c.tokens += bytes.Count(b, eventEnd)
+	return c.AnswerWriter.Chunk(b)
+}
--- /dev/null
+++ b/transport/probe/prober.go
@@ -0,0 +1,110 @@
+// Package probe asks the model engines that this router owns for their load.
+//
+// # Usage
+//
+//	p := probe.New(probe.Options{Table: t, Owner: o, Engines: engines, Interval: time.Second})
+//	defer p.Close()
+package probe
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/state/shard"
+	"amaranthtide/state/table"
+)
+
+// Owner knows the owned engines and takes in their reports.
+type Owner interface {
+	Watch(now time.Time) []amaranthtide.BackendServerName
+	Probed(asked time.Time, server amaranthtide.BackendServerName, r amaranthtide.EngineReport, err error)
+}
+
+// Options are the parts that a Prober works with. All are required.
+type Options struct {
+	Table    *table.Table
+	Owner    Owner
+	Engines  amaranthtide.EngineControl
+	Interval time.Duration
+}
+
+// Prober is concurrent-safe. Use New.
+type Prober struct {
+	opts Options
+	// busy holds the engines whose probe is under way, so that an engine that does
+	// not answer holds up no other and is not asked twice at once.
+	busy   *shard.Map[amaranthtide.BackendServerName, struct{}]
+	probes atomic.Uint64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a Prober that runs until Close.
+func New(opts Options) *Prober {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Prober{
+		opts:   opts,
+		busy:   shard.New[amaranthtide.BackendServerName, struct{}](),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	p.wg.Go(p.run)
+	return p
+}
+
+// Close stops the probes and waits for those under way.
+func (p *Prober) Close() {
+	p.cancel()
+	p.wg.Wait()
+}
+
+// Probes returns the number of probes sent.
+func (p *Prober) Probes() uint64 { return p.probes.Load() }
+
+func (p *Prober) run() {
+	ticker := time.NewTicker(p.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.probeAll(now)
+		}
+	}
+}
+
+func (p *Prober) probeAll(now time.Time) {
+	for _, server := range p.opts.Owner.Watch(now) {
+		row, ok := p.opts.Table.BackendServer(server)
+		if !ok || !p.begin(server) {
+			continue
+		}
+		p.wg.Go(func() { p.probe(server, row) })
+	}
+}
+
+func (p *Prober) begin(server amaranthtide.BackendServerName) bool {
+	begun := false
+	p.busy.Update(server, func(_ struct{}, busy bool) (struct{}, bool) {
+		begun = !busy
+		return struct{}{}, true
+	})
+	return begun
+}
+
+func (p *Prober) probe(server amaranthtide.BackendServerName, row amaranthtide.BackendServer) {
+	defer p.busy.Delete(server)
+	asked := time.Now()
+	p.probes.Add(1)
+	report, err := p.opts.Engines.Load(p.ctx, row.Address)
+	if p.ctx.Err() != nil {
+		return
+	}
+	p.opts.Owner.Probed(asked, server, report, err)
+}
--- /dev/null
+++ b/transport/router/close.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"context"
+	"time"
+)
+
+// Close shuts the router down gracefully. It tells the other routers, serves new
+// requests for the shutdown grace, waits for requests in flight and releases all
+// resources. Requests that outlast the drain timeout are cut; Close then returns
+// the error of the timeout.
+func (r *Router) Close() error {
+	var err error
+	r.once.Do(func() { err = r.close() })
+	return err
+}
+
+func (r *Router) close() error {
+	r.draining.Store(true)
+	r.opts.Logger.Info("router leaves", "grace", r.cfg.Router.ShutdownGrace)
+	r.control.Leave(time.Now())
+	sleep(r.cfg.Router.ShutdownGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Router.DrainTimeout)
+	defer cancel()
+	err := r.callers.Shutdown(ctx)
+	if meshErr := r.mesh.Shutdown(ctx); err == nil {
+		err = meshErr
+	}
+	if err != nil {
+		r.opts.Logger.Warn("requests were cut by the drain timeout", "error", err)
+	}
+	r.stop()
+	return err
+}
+
+func sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// Kill closes all sockets at once, as the end of the process would.
+func (r *Router) Kill() {
+	r.once.Do(func() {
+		r.cancel()
+		r.stop()
+	})
+}
+
+// stop closes the parts that were built, in reverse order.
+func (r *Router) stop() {
+	r.cancel()
+	r.closeSockets()
+	if r.callers != nil {
+		_ = r.callers.Close()
+	}
+	if r.console != nil {
+		_ = r.console.Close()
+	}
+	if r.prober != nil {
+		r.prober.Close()
+	}
+	if r.spread != nil {
+		r.spread.Close()
+	}
+	if r.control != nil {
+		r.control.Close()
+	}
+	if r.mesh != nil {
+		_ = r.mesh.Close()
+	}
+	if r.owner != nil {
+		r.owner.Close()
+	}
+	if r.claims != nil {
+		r.claims.Close()
+	}
+	if r.services != nil {
+		r.services.Close()
+	}
+	if r.engines != nil {
+		r.engines.Close()
+	}
+	if r.platform != nil {
+		r.platform.Close()
+	}
+	r.wg.Wait()
+	if r.meter != nil {
+		_ = r.meter.Close(context.Background())
+	}
+}
--- /dev/null
+++ b/transport/spread/spreader.go
@@ -0,0 +1,312 @@
+// Package spread keeps a router's copy of the configuration table up to date: it
+// loads the table at start, polls the change log while this router is a reader of
+// its zone, pushes changes to the other routers of the zone and asks peers for
+// those that it missed.
+//
+// # Usage
+//
+//	s := spread.New(spread.Options{Table: t, Mesh: m, Platform: platform, Control: c})
+//	if err := s.Start(); err != nil {
+//		return err
+//	}
+//	defer s.Close()
+//	<-s.Loaded() // the router is ready once the table is loaded
+package spread
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/membership"
+	"amaranthtide/coordination/spread"
+	"amaranthtide/protocol/message"
+	"amaranthtide/state/table"
+	"amaranthtide/transport/mesh"
+)
+
+// Platform is the part of the platform's services that a Spreader uses.
+type Platform interface {
+	amaranthtide.TableService
+	amaranthtide.ObjectStore
+	Do(ctx context.Context, call amaranthtide.TableCall) amaranthtide.TableResult
+}
+
+// Control tells a Spreader who its peers are.
+type Control interface {
+	IsContact(now time.Time) (contact, first bool)
+	Peers(now time.Time) []membership.Peer
+}
+
+// Mesh is the part of transport/mesh that a Spreader uses.
+type Mesh interface {
+	Publisher() watermill.Publisher
+	Subscriber() watermill.Subscriber
+}
+
+// Options are the parts that a Spreader works with. All but Logger are required.
+type Options struct {
+	Table    *table.Table
+	Mesh     Mesh
+	Platform Platform
+	Control  Control
+	// Forwarder fetches the table from peers at start.
+	Forwarder amaranthtide.Forwarder
+	// Seeds are asked for the table before any peer is known by name.
+	Seeds []netip.AddrPort
+	// Interval is the time between a reader's polls.
+	Interval time.Duration
+	Logger   hclog.Logger
+}
+
+// Spreader is concurrent-safe. Use New.
+type Spreader struct {
+	opts   Options
+	loaded chan struct{}
+	once   sync.Once
+	// written is the revision of the last snapshot that this router wrote or saw.
+	written amaranthtide.Revision
+	// polled is when the platform last answered a poll, in Unix nanoseconds.
+	polled atomic.Int64
+	behind chan netip.AddrPort
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a Spreader that does nothing until Start.
+func New(opts Options) *Spreader {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Spreader{
+		opts:   opts,
+		loaded: make(chan struct{}),
+		behind: make(chan netip.AddrPort, 1),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+}
+
+// Start begins to load the table and to exchange changes.
+func (s *Spreader) Start() error {
+	sub := s.opts.Mesh.Subscriber()
+	changes, err := sub.Subscribe(s.ctx, message.TopicChanges)
+	if err != nil {
+		return err
+	}
+	wanted, err := sub.Subscribe(s.ctx, message.TopicChangesWanted)
+	if err != nil {
+		return err
+	}
+	s.wg.Go(func() { s.loopChanges(changes) })
+	s.wg.Go(func() { s.loopWanted(wanted) })
+	s.wg.Go(s.run)
+	s.wg.Go(s.loopBehind)
+	return nil
+}
+
+// Close stops the exchange and waits for its goroutines.
+func (s *Spreader) Close() {
+	s.cancel()
+	s.wg.Wait()
+}
+
+// Loaded returns a channel that is closed once the table is loaded.
+func (s *Spreader) Loaded() <-chan struct{} { return s.loaded }
+
+// Behind notes that a peer has a newer revision, to be asked for the changes.
+func (s *Spreader) Behind(peer netip.AddrPort) {
+	select {
+	case s.behind <- peer:
+	default:
+	}
+}
+
+// Polled returns when the platform last answered a poll of this router; zero if
+// it never did.
+func (s *Spreader) Polled() time.Time {
+	if n := s.polled.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
+// run loads the table and then polls the log while this router is a reader.
+func (s *Spreader) run() {
+	s.load()
+	ticker := time.NewTicker(s.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case now := <-ticker.C:
+			if contact, first := s.opts.Control.IsContact(now); contact {
+				s.poll(first)
+			}
+		}
+	}
+}
+
+// poll reads the changes after the table's revision from the log and pushes them.
+// The first reader also writes the snapshot when it is due.
+func (s *Spreader) poll(first bool) {
+	for {
+		page := spread.Poll(s.opts.Table.Revision(), 0)
+		rows, err := s.opts.Platform.List(s.ctx, page.Prefix, page.After, page.Limit)
+		if err != nil {
+			s.opts.Logger.Debug("poll of the change log failed", "error", err)
+			return
+		}
+		s.polled.Store(time.Now().UnixNano())
+		changes, err := spread.Changes(rows)
+		if err != nil {
+			s.opts.Logger.Error("change log can't be read", "error", err)
+			return
+		}
+		s.Push(changes)
+		if len(rows) < page.Limit {
+			break
+		}
+	}
+	if first && spread.SnapshotDue(s.written, s.opts.Table.Revision()) {
+		s.writeSnapshot()
+	}
+}
+
+func (s *Spreader) writeSnapshot() {
+	rows, revision := s.opts.Table.Snapshot()
+	data, err := spread.EncodeSnapshot(rows, revision)
+	if err != nil {
+		s.opts.Logger.Error("snapshot can't be encoded", "error", err)
+		return
+	}
+	if err := s.opts.Platform.PutObject(s.ctx, spread.SnapshotName, data); err != nil {
+		s.opts.Logger.Debug("snapshot not written", "error", err)
+		return
+	}
+	s.written = revision
+}
+
+// Push applies changes that this router read or committed and sends them to the
+// routers of the zone that lack them.
+func (s *Spreader) Push(changes []amaranthtide.Change) {
+	applied, gap := s.opts.Table.Apply(changes)
+	if gap {
+		s.opts.Logger.Debug("changes follow a gap", "revision", s.opts.Table.Revision())
+	}
+	if applied == 0 {
+		return
+	}
+	var to []netip.AddrPort
+	for _, p := range s.opts.Control.Peers(time.Now()) {
+		to = append(to, p.Address)
+	}
+	s.send(changes[len(changes)-applied:], to)
+}
+
+func (s *Spreader) send(changes []amaranthtide.Change, to []netip.AddrPort) {
+	m, err := message.NewChanges(changes[0].Revision-1, changes)
+	if err != nil {
+		s.opts.Logger.Error("changes can't be encoded", "error", err)
+		return
+	}
+	s.publish(message.TopicChanges, m, to)
+}
+
+func (s *Spreader) publish(topic string, m message.Message, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	payload, err := message.Append(nil, m)
+	if err != nil {
+		s.opts.Logger.Error("control message can't be encoded", "topic", topic, "error", err)
+		return
+	}
+	texts := make([]string, len(to))
+	for i, a := range to {
+		texts[i] = a.String()
+	}
+	msg := watermill.NewMessage("", payload)
+	msg.Metadata.Set(mesh.MetadataPeers, strings.Join(texts, ","))
+	if err := s.opts.Mesh.Publisher().Publish(topic, msg); err != nil {
+		s.opts.Logger.Debug("publish control message", "topic", topic, "error", err)
+	}
+}
+
+func (s *Spreader) loopChanges(messages <-chan *watermill.Message) {
+	for msg := range messages {
+		msg.Ack()
+		var m message.Changes
+		if err := message.Decode(msg.Payload, &m); err != nil {
+			s.opts.Logger.Warn("changes dropped", "error", err)
+			continue
+		}
+		_, changes, err := m.Root()
+		if err != nil {
+			s.opts.Logger.Warn("changes dropped", "error", err)
+			continue
+		}
+		if _, gap := s.opts.Table.Apply(changes); gap {
+			if sender, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender)); err == nil {
+				s.Behind(sender)
+			}
+		}
+	}
+}
+
+// askPause bounds how often peers are asked for changes.
+const askPause = 50 * time.Millisecond
+
+func (s *Spreader) loopBehind() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case peer := <-s.behind:
+			s.publish(message.TopicChangesWanted, &message.ChangesWanted{After: uint64(s.opts.Table.Revision())}, []netip.AddrPort{peer})
+			s.sleep(askPause)
+		}
+	}
+}
+
+func (s *Spreader) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+}
+
+// maxAnswered bounds the changes in one answer to a peer that is behind.
+const maxAnswered = 256
+
+func (s *Spreader) loopWanted(messages <-chan *watermill.Message) {
+	for msg := range messages {
+		msg.Ack()
+		var m message.ChangesWanted
+		if err := message.Decode(msg.Payload, &m); err != nil {
+			continue
+		}
+		sender, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender))
+		if err != nil {
+			continue
+		}
+		changes, ok := s.opts.Table.Changes(amaranthtide.Revision(m.After), maxAnswered)
+		if !ok || len(changes) == 0 {
+			continue // the peer falls back on the object store and the table service
+		}
+		s.send(changes, []netip.AddrPort{sender})
+	}
+}
--- /dev/null
+++ b/transport/spread/start.go
@@ -0,0 +1,67 @@
+package spread
+
+import (
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/spread"
+)
+
+// loadPatience is the time after which a start logs that it can't reach the table.
+// The start goes on until it succeeds or the router is closed.
+const loadPatience = 30 * time.Second
+
+// load runs the start of the table until it is loaded.
+func (s *Spreader) load() {
+	for s.ctx.Err() == nil {
+		r := spread.New(time.Now().Add(loadPatience))
+		step := r.Start(time.Now())
+		for step.Do != spread.Load && step.Do != spread.Fail && s.ctx.Err() == nil {
+			step = r.Next(time.Now(), s.do(step))
+		}
+		if step.Do == spread.Fail {
+			s.opts.Logger.Warn("the table could not be loaded; trying again", "error", step.Err)
+			continue
+		}
+		if step.Do != spread.Load {
+			return
+		}
+		s.opts.Table.Load(step.Rows, step.Revision)
+		s.written = step.Revision
+		s.once.Do(func() { close(s.loaded) })
+		return
+	}
+}
+
+func (s *Spreader) do(step spread.Step) spread.Answer {
+	switch step.Do {
+	case spread.AskPeers:
+		return spread.Answer{Snapshot: s.fromPeers()}
+	case spread.GetObject:
+		return s.fromObject()
+	case spread.Get:
+		return spread.Answer{Result: s.opts.Platform.Do(s.ctx, step.Call)}
+	case spread.List:
+		rows, err := s.opts.Platform.List(s.ctx, step.Page.Prefix, step.Page.After, step.Page.Limit)
+		return spread.Answer{Listed: rows, Err: err}
+	default:
+		s.sleep(step.Pause)
+		return spread.Answer{}
+	}
+}
+
+func (s *Spreader) fromObject() spread.Answer {
+	object, err := s.opts.Platform.GetObject(s.ctx, spread.SnapshotName)
+	if err != nil {
+		return spread.Answer{Err: err}
+	}
+	data, ok := object.Get()
+	if !ok {
+		return spread.Answer{}
+	}
+	snapshot, err := spread.DecodeSnapshot(data)
+	if err != nil {
+		return spread.Answer{Err: err}
+	}
+	return spread.Answer{Snapshot: amaranthtide.Some(snapshot)}
+}
