--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -33,7 +33,8 @@
 //     some hypervisors; such a pause is not seen;
 //   - of each report, it or a later one of the same router is processed by every
 //     running peer within half of the shorter suspicion time of the two after it was
-//     sent, or after the peer woke;
+//     sent, or after the peer woke from a pause; a stall of the peer that is too
+//     short for a pause counts as part of that time;
 //   - a change of the rows of VMs and of the zone reaches every running router of
 //     the zone within half of the grace;
 //   - each Tick sends a report, and a report announces the true time to the next.
--- a/coordination/membership/view_test.go
+++ b/coordination/membership/view_test.go
@@ -32,9 +32,11 @@
 	sequence    uint64
 	frozen      bool
 	leaving     bool
-	woke        time.Time
-	nextTick    time.Time
-	revision    int
+	// woke is when the last pause ended. A stall up to half the suspicion time is no
+	// pause: it counts as time that the reports on the way take.
+	woke     time.Time
+	lastTick time.Time
+	revision int
 }
 
 type sent struct {
@@ -94,7 +96,7 @@
 func (f *fleet) restart(i int) {
 	r := f.routers[i]
 	r.incarnation++
-	r.sequence, r.frozen, r.leaving, r.woke, r.nextTick = 0, false, false, f.now, f.now
+	r.sequence, r.frozen, r.leaving, r.woke, r.lastTick = 0, false, false, f.now, f.now.Add(-interval)
 	r.view = membership.New(f.clock(r), membership.Config{Self: r.name, Zone: "z"}, interval)
 	for j := range f.routers {
 		f.links[[2]int{j, i}].queue = nil
@@ -105,6 +107,13 @@
 	}
 }
 
+func (f *fleet) thaw(r *router) {
+	r.frozen = false
+	if f.now.Sub(r.lastTick) > suspicion/2 {
+		r.woke = f.now
+	}
+}
+
 func (f *fleet) clock(r *router) time.Time { return f.now.Add(r.offset) }
 
 func (f *fleet) editTable(t *rapid.T) {
@@ -142,7 +151,7 @@
 			}
 		}
 		f.receive(i)
-		if !f.now.Before(r.nextTick) {
+		if f.now.Sub(r.lastTick) >= interval {
 			f.send(t, i)
 		}
 	}
@@ -167,7 +176,7 @@
 
 func (f *fleet) send(t *rapid.T, i int) {
 	r := f.routers[i]
-	r.nextTick = f.now.Add(interval)
+	r.lastTick = f.now
 	r.view.Tick(f.clock(r), interval)
 	r.sequence++
 	report := amaranthtide.Report{
@@ -252,7 +261,7 @@
 				r := f.routers[pick.Draw(t, "router")]
 				r.frozen = true
 				run(t, 50)
-				r.frozen, r.woke = false, f.now
+				f.thaw(r)
 				f.checkSettled(t) // before the router does anything else
 			},
 			"pauseAround": func(t *rapid.T) { // thaw near the suspicion time
@@ -262,7 +271,7 @@
 					f.advance(t)
 					f.checkSettled(t)
 				}
-				r.frozen, r.woke = false, f.now
+				f.thaw(r)
 				f.checkSettled(t)
 			},
 			"restart": func(t *rapid.T) { f.restart(pick.Draw(t, "router")) },
@@ -377,6 +386,34 @@
 	is.True(!owns)
 }
 
+// Guards against a late report from before two opposite table changes that passes
+// for agreement on the view after them.
+func TestOldReportIsNoAgreement(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := membership.New(now, membership.Config{Self: "a", Zone: "z"}, interval)
+	report := amaranthtide.Report{VM: "b", Zone: "z", Incarnation: 1, Interval: interval}
+	hear := func() {
+		report.Sequence++
+		a.Observe(now, report)
+	}
+	for range 40 {
+		now = now.Add(interval)
+		a.Tick(now, interval)
+		hear()
+		report.View = a.Hash(now)
+	}
+	owned := slices.IndexFunc(serverNames, func(s amaranthtide.BackendServerName) bool { return a.Settled(now, s) })
+	is.True(owned >= 0)
+	a.SetOutOfService(now, 1, amaranthtide.NewSet[amaranthtide.VMName]("a"), false)
+	a.SetOutOfService(now, 2, nil, false)
+	hear() // same view, but of revision 0
+	is.True(!a.Settled(now, serverNames[owned]))
+	report.Revision = 2
+	hear()
+	is.True(a.Settled(now, serverNames[owned]))
+}
+
 // Guards against a lagging list that overrides direct reports, and against zones
 // that count as reachable on old digests.
 func TestSourcesOfMembers(t *testing.T) {
