coordination/quota, coordination/retry: stricter tests

Cause: a scratch edit that charged refused requests passed the tests of quota, and one that never empties the retry budget hung its test. Change: TestAllowance replaces TestStartsWithOneSecond and also checks the seconds that follow; the test of the saved retries ends by itself.

--- a/coordination/quota/limiter_test.go
+++ b/coordination/quota/limiter_test.go
@@ -56,14 +56,21 @@
 	})
 }
 
-// Guards against a first burst other than one second's allowance.
-func TestStartsWithOneSecond(t *testing.T) {
+// Guards against a first burst other than one second's allowance, and against
+// refused requests that use up the allowance of later ones.
+func TestAllowance(t *testing.T) {
 	var l quota.Limiter
-	now, n := time.Unix(1000, 0), 0
-	for l.Admit(now, amaranthtide.Workspace{RequestsPerSecond: 40}, 4) == nil {
-		n++
-	}
-	if n != 10 {
-		t.Errorf("got: %d, want: 10", n)
+	now := time.Unix(1000, 0)
+	for second := range 3 {
+		n := 0
+		for range 100 {
+			if l.Admit(now, amaranthtide.Workspace{RequestsPerSecond: 40}, 4) == nil {
+				n++
+			}
+		}
+		if n != 10 {
+			t.Errorf("second %d got: %d, want: 10", second, n)
+		}
+		now = now.Add(time.Second)
 	}
 }
--- a/coordination/retry/budget_test.go
+++ b/coordination/retry/budget_test.go
@@ -39,7 +39,7 @@
 		b.Earn()
 	}
 	n := 0
-	for b.Take() {
+	for n < 2000 && b.Take() {
 		n++
 	}
 	if n != 10 {
