protocol/message: limits tested one by one

Cause: with the nesting limit switched off on a trial edit the test still passed, since the item limit caught the same input, and the reverse. Change: one input per limit, each inside the other one. Conclusion: each limit has its own proof.

--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -130,14 +130,24 @@
 	_, err = message.Append(nil, &message.Forward{Chat: strings.Repeat("x", message.MaxName+1)})
 	is.True(amaranthtide.IsKind(err, amaranthtide.KindBadRequest))
 
-	deep := append(bytes.Repeat([]byte{0x91}, message.MaxSize-1), 0xc0)
-	is.True(message.Decode(deep, &message.Report{}) != nil)
-	items, err := msgpack.Marshal(map[string]any{"loads": make([]any, message.MaxItems)})
+	// Fields that the decoder doesn't know, which it would skip.
+	unknown := []byte{0x81, 0xa1, 'x'}
+	deep := append(append(bytes.Clone(unknown), bytes.Repeat([]byte{0x91}, 20)...), 0xc0)
+	hasText(is, message.Decode(deep, &message.Report{}), "nested")
+	items, err := msgpack.Marshal(map[string]any{"x": make([]any, message.MaxItems)})
 	is.NoErr(err)
-	is.True(message.Decode(items, &message.Report{}) != nil)
+	hasText(is, message.Decode(items, &message.Report{}), "items")
+	items, err = msgpack.Marshal(map[string]any{"x": make([]any, message.MaxItems/2), "vm": "v"})
+	is.NoErr(err)
+	is.NoErr(message.Decode(items, &message.Report{}))
 	is.True(message.Decode([]byte{0x80, 0x80}, &message.Report{}) != nil) // trailing bytes
 }
 
+func hasText(is *is.I, err error, text string) {
+	is.Helper()
+	is.True(err != nil && strings.Contains(err.Error(), text))
+}
+
 // Guards against a hand-made encoding that no msgpack decoder reads.
 func TestChunkIsMsgpack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
