--- a/transport/mesh/forward.go
+++ b/transport/mesh/forward.go
@@ -189,11 +189,26 @@
 		return internalError("answer exceeds its window of %d bytes", s.window)
 	}
 	s.received += uint64(len(data))
-	s.buf = append(s.buf, data...)
+	s.buf = append(s.grow(len(data)), data...)
 	s.notify()
 	return nil
 }
 
+// minStreamBuffer holds a few small chunks.
+const minStreamBuffer = 256
+
+// grow returns the buffer with room for n more bytes. It doubles, but never beyond
+// the window, which append would exceed by a quarter. The caller holds mu and has
+// checked the window.
+func (s *outgoing) grow(n int) []byte {
+	need := len(s.buf) + n
+	if need <= cap(s.buf) {
+		return s.buf
+	}
+	size := max(need, min(max(2*cap(s.buf), minStreamBuffer), s.window))
+	return append(make([]byte, 0, size), s.buf...)
+}
+
 // takeEnd returns the outcome. An end is clean only if the whole body has come.
 func (s *outgoing) takeEnd(payload []byte) error {
 	var m message.End
--- a/transport/mesh/mesh.go
+++ b/transport/mesh/mesh.go
@@ -122,19 +122,14 @@
 }
 
 // Shutdown refuses new forwards from peers as KindShuttingDown and waits until
-// all streams in flight, of both directions, have ended and their answers have
-// been written. It returns the error of ctx if that ends first. Own forwards are
-// still sent, since requests in flight at this entry may need them.
+// all streams in flight, of both directions, have ended. It returns the error of
+// ctx if that ends first. The last answers may still be queued; Close writes them.
+// Own forwards are still sent, since requests in flight at this entry may need them.
 func (m *Mesh) Shutdown(ctx context.Context) error {
 	m.refusing.Store(true)
 	if err := m.flights.wait(ctx); err != nil {
 		return err
 	}
-	for _, c := range m.allConnections() {
-		if err := c.out.flush(ctx); err != nil {
-			return err
-		}
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.drained = true
@@ -143,8 +138,9 @@
 
 // Close closes all connections, cancels the requests that are being served, also
 // those that may not be repeated, and waits for all goroutines. Call Shutdown
-// first to let the requests end. After a Shutdown that returned nil, peers get what
-// is still unread before their connections end. A second Close does nothing.
+// first to let the requests end. After a Shutdown that returned nil, Close writes
+// what is queued and waits for the peers to read it, for at most Options.Silence
+// and half a second. A second Close does nothing but wait.
 func (m *Mesh) Close() error {
 	m.mu.Lock()
 	if m.closed {
@@ -159,13 +155,21 @@
 	if drained {
 		m.finishConnections()
 	}
+	// Connections go before the requests: an entry must see a break, whose outcome
+	// is unknown, and not the cancellation that follows here.
+	m.closeConnections()
 	m.cancel()
 	err := m.listener.Close()
+	// Handshakes that ended meanwhile; ready sees the end of ctx in later ones.
+	m.closeConnections()
+	m.wg.Wait()
+	return err
+}
+
+func (m *Mesh) closeConnections() {
 	for _, c := range m.allConnections() {
 		c.close(errClosed)
 	}
-	m.wg.Wait()
-	return err
 }
 
 // finishConnections ends the accepted connections in order and waits for them.
--- /dev/null
+++ b/transport/mesh/mesh_test.go
@@ -0,0 +1,315 @@
+package mesh_test
+
+import (
+	"context"
+	"net/netip"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/protocol/frame"
+	"amaranthtide/protocol/message"
+	"amaranthtide/transport/mesh"
+)
+
+// Guards against peers without the fleet key, on either side.
+func TestWrongKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	other := []byte("another key of a good length")
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(echo)})
+	entry := newMesh(t, mesh.Options{Key: other})
+	err := entry.Forward(testContext(t), owner.Addr(), "engine", newRequest("", nil), &answer{})
+	wantKind(t, err, amaranthtide.KindNoBackend)
+
+	// The accepter must not answer a wrong proof, nor take frames before one.
+	p := rawDial(t, owner, other)
+	_, err = p.codec.Next()
+	is.True(err != nil)
+
+	// The dialler must not trust a router that can't prove the key.
+	addr, _ := rawListen(t, other)
+	err = newMesh(t, mesh.Options{}).Forward(testContext(t), addr, "engine", newRequest("", nil), &answer{})
+	wantKind(t, err, amaranthtide.KindNoBackend)
+	hasText(is, err, "fleet key")
+
+	_, err = mesh.New(mesh.Options{Key: []byte("short")})
+	is.True(err != nil)
+}
+
+// Guards against goroutines and requests that outlive Close.
+func TestCloseLeavesNoGoroutine(t *testing.T) {
+	before := runtime.NumGoroutine()
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(func(ctx context.Context, _ *amaranthtide.Request, _ amaranthtide.AnswerWriter) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})})
+	entry := newMesh(t, mesh.Options{BackoffMin: time.Minute, BackoffMax: time.Minute})
+	_, err := owner.Subscriber().Subscribe(context.Background(), "topic")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry.SetPeers("topic", []netip.AddrPort{owner.Addr(), netip.MustParseAddrPort("127.0.0.1:1")})
+	if err := entry.Publisher().Publish("topic", watermill.NewMessage("", nil)); err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			key := []amaranthtide.IdempotencyKey{"", "key"}[i%2]
+			if entry.Forward(context.Background(), owner.Addr(), "engine", newRequest(key, nil), &answer{}) == nil {
+				t.Error("got: an answer, want: an error")
+			}
+		}()
+	}
+	eventually(t, "in flight", func() bool { return owner.Stats().ForwardReceived.Frames == 20 })
+	if err := owner.Close(); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if err := entry.Close(); err != nil {
+		t.Error(err)
+	}
+	_ = entry.Close()
+	wantGoroutines(t, before)
+	wantKind(t, entry.Forward(context.Background(), owner.Addr(), "engine", newRequest("", nil), &answer{}), amaranthtide.KindNoBackend)
+	if entry.Publisher().Publish("topic", watermill.NewMessage("", nil)) == nil {
+		t.Error("got: published, want: an error after Close")
+	}
+}
+
+// Guards against streams that hang on a peer that is frozen or silently cut off,
+// on both sides, and against links that are cut though they are merely idle.
+func TestFrozenPeerIsNoticed(t *testing.T) {
+	is := is.New(t)
+	served := make(chan error, 1)
+	opts := mesh.Options{Keepalive: 30 * time.Millisecond, Silence: 150 * time.Millisecond}
+	opts.Owner = ownerFunc(func(ctx context.Context, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+		if req.Chat == "short" {
+			time.Sleep(400 * time.Millisecond)
+			return echo(ctx, req, w)
+		}
+		<-ctx.Done()
+		served <- ctx.Err()
+		return ctx.Err()
+	})
+	owner := newMesh(t, opts)
+	dialer := newCuttingDialer()
+	entryOpts := opts
+	entryOpts.Dialer = dialer.dial
+	entry := newMesh(t, entryOpts)
+	req := newRequest("", nil)
+	req.Chat = "short"
+	is.NoErr(entry.Forward(testContext(t), owner.Addr(), "engine", req, &answer{})) // idle for longer than Silence
+	is.Equal(len(dialer.conns), 1)
+
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		dialer.each(func(c *cutConn) { c.frozen.Store(true) }) // the owner hears nothing more
+	}()
+	wantKind(t, entry.Forward(testContext(t), owner.Addr(), "engine", newRequest("key", nil), &answer{}), amaranthtide.KindOutcomeUnknown)
+
+	// A peer that takes the handshake and a request and then stops.
+	addr, peers := rawListen(t, fleetKey)
+	began := time.Now()
+	wantKind(t, entry.Forward(testContext(t), addr, "engine", newRequest("", nil), &answer{}), amaranthtide.KindBackendFailed)
+	is.True(time.Since(began) < time.Second)
+	<-peers
+}
+
+// Guards against control messages that block their sender, and against losing
+// the newest ones instead of the oldest.
+func TestControlMessages(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	a, b := newMesh(t, mesh.Options{ControlQueue: 3}), newMesh(t, mesh.Options{ControlQueue: 3})
+	sub := b.Subscriber()
+	slow, err := sub.Subscribe(ctx, message.TopicReport)
+	is.NoErr(err)
+	a.SetPeers(message.TopicReport, []netip.AddrPort{b.Addr()})
+	publish := func(text string) {
+		is.Helper()
+		is.NoErr(a.Publisher().Publish(message.TopicReport, watermill.NewMessage("", []byte(text))))
+	}
+	publish("first")
+	msg := <-slow
+	is.Equal(string(msg.Payload), "first")
+	is.Equal(msg.Metadata.Get(mesh.MetadataSender), a.Addr().String())
+	is.Equal(b.Stats().ControlReceived[message.TopicReport], mesh.Traffic{Frames: 1, Bytes: frame.HeaderSize + 10 + 5})
+
+	for i := range 50 {
+		publish(string(rune('a' + i)))
+		time.Sleep(time.Millisecond)
+	}
+	eventually(t, "sent", func() bool {
+		return b.Stats().ControlReceived[message.TopicReport].Frames+a.Stats().ControlDropped[message.TopicReport] == 51
+	})
+	var last string
+	count := 0
+	for len(last) == 0 || last != string(rune('a'+49)) {
+		last = string((<-slow).Payload)
+		count++
+	}
+	is.True(count <= 5) // the queue, one on its way and one that raced with the drop
+	is.True(b.Stats().ControlDropped[message.TopicReport] >= 45-a.Stats().ControlDropped[message.TopicReport])
+	sent, received := a.Stats().ControlSent[message.TopicReport], b.Stats().ControlReceived[message.TopicReport]
+	is.Equal(sent, received)
+
+	// Metadata goes before the peers of the topic.
+	direct := watermill.NewMessage("", []byte("direct"))
+	direct.Metadata.Set(mesh.MetadataPeers, a.Addr().String())
+	own, err := a.Subscriber().Subscribe(ctx, message.TopicReport)
+	is.NoErr(err)
+	is.NoErr(a.Publisher().Publish(message.TopicReport, direct))
+	is.Equal(string((<-own).Payload), "direct")
+
+	is.NoErr(sub.Close())
+	_, open := <-slow
+	is.True(!open)
+	publish("unheard")
+	eventually(t, "counted", func() bool { return b.Stats().ControlReceived[""].Frames == 1 })
+}
+
+// Guards against a publisher that waits for a peer that doesn't read.
+func TestPublishNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	addr, peers := rawListen(t, fleetKey)
+	m := newMesh(t, mesh.Options{ControlQueue: 4, Silence: 2 * time.Second})
+	m.SetPeers("big", []netip.AddrPort{addr})
+	payload := make([]byte, 100_000)
+	began := time.Now()
+	const n = 400 // far more than the socket buffers hold
+	for range n {
+		is.NoErr(m.Publisher().Publish("big", watermill.NewMessage("", payload)))
+	}
+	is.True(time.Since(began) < time.Second)
+	<-peers
+	is.True(m.Stats().ControlDropped["big"] > 0)
+	is.True(m.Stats().ControlDropped["big"]+m.Stats().ControlSent["big"].Frames >= n-4)
+}
+
+// Guards against a graceful shutdown that cuts requests or runs some in silence.
+func TestShutdownCutsNothing(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	ran := map[amaranthtide.AttemptID]bool{}
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(func(ctx context.Context, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+		mu.Lock()
+		ran[req.Attempt] = true
+		mu.Unlock()
+		return pieces(ctx, req, w)
+	})})
+	entry := newMesh(t, mesh.Options{})
+	ctx := testContext(t)
+	body := randomBody(100_000, 1)
+	var wg sync.WaitGroup
+	whole := 0
+	for range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				req := newRequest("key", body)
+				req.Chat = "\x40"
+				got := &answer{}
+				err := entry.Forward(ctx, owner.Addr(), "engine", req, got)
+				mu.Lock()
+				didRun := ran[req.Attempt]
+				if err == nil {
+					whole++
+				}
+				mu.Unlock()
+				if err != nil {
+					wantKind(t, err, amaranthtide.KindShuttingDown, amaranthtide.KindNoBackend)
+					if didRun {
+						t.Errorf("got: %v for a request that ran", err)
+					}
+					return
+				}
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(owner.Shutdown(ctx))
+	is.NoErr(owner.Close())
+	wg.Wait()
+	t.Logf("%d whole answers", whole)
+	is.True(whole > 0)
+}
+
+// Guards against requests that an ending router never took and that are reported
+// as run, and against losing those that it did take.
+func TestLeavingTellsTheLastStream(t *testing.T) {
+	is := is.New(t)
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(echo)})
+	p := rawDial(t, owner, fleetKey)
+	p.send(7, frame.Forward, message.NewForward(time.Now(), "engine", newRequest("key", nil), 100))
+	var end message.End
+	p.receive(frame.End, &end)
+	is.NoErr(owner.Shutdown(testContext(t)))
+	go func() { _ = owner.Close() }()
+	f, err := p.codec.Next()
+	is.NoErr(err)
+	is.Equal(f, frame.Frame{Stream: 7, Type: frame.Leaving, Payload: []byte{}})
+
+	addr, peers := rawListen(t, fleetKey)
+	entry := newMesh(t, mesh.Options{})
+	results := make(chan error, 2)
+	for range 2 {
+		go func() {
+			results <- entry.Forward(testContext(t), addr, "engine", newRequest("key", nil), &answer{})
+		}()
+	}
+	p = <-peers
+	var first, second message.Forward
+	p.receive(frame.Forward, &first)
+	p.receive(frame.Forward, &second)
+	p.sendRaw(1, frame.Leaving, nil)
+	wantKind(t, <-results, amaranthtide.KindShuttingDown)
+	wantKind(t, entry.Forward(testContext(t), addr, "engine", newRequest("key", nil), &answer{}), amaranthtide.KindNoBackend)
+	p.send(1, frame.Head, &message.Head{Attempt: first.Attempt})
+	p.send(1, frame.End, message.NewEnd(0, nil))
+	is.NoErr(<-results)
+}
+
+// Guards against a Shutdown that ignores its context.
+func TestShutdownGivesUp(t *testing.T) {
+	is := is.New(t)
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(func(ctx context.Context, _ *amaranthtide.Request, _ amaranthtide.AnswerWriter) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})})
+	entry := newMesh(t, mesh.Options{})
+	done := make(chan error, 1)
+	go func() {
+		done <- entry.Forward(context.Background(), owner.Addr(), "engine", newRequest("key", nil), &answer{})
+	}()
+	eventually(t, "in flight", func() bool { return owner.Stats().ForwardReceived.Frames == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	is.Equal(owner.Shutdown(ctx), context.DeadlineExceeded)
+	is.NoErr(owner.Close())
+	wantKind(t, <-done, amaranthtide.KindOutcomeUnknown)
+}
+
+// Guards against connections and goroutines kept for routers that were replaced.
+func TestIdleLinksGoAway(t *testing.T) {
+	before := runtime.NumGoroutine()
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(echo)})
+	base := runtime.NumGoroutine()
+	entry := newMesh(t, mesh.Options{Keepalive: 10 * time.Millisecond, Silence: 3 * time.Second, Idle: 40 * time.Millisecond})
+	for range 2 {
+		if err := entry.Forward(testContext(t), owner.Addr(), "engine", newRequest("", nil), &answer{}); err != nil {
+			t.Fatal(err)
+		}
+		wantGoroutines(t, base+1) // the accept loop of entry
+	}
+	_, _ = entry.Close(), owner.Close()
+	wantGoroutines(t, before)
+}
--- a/transport/mesh/outbox.go
+++ b/transport/mesh/outbox.go
@@ -48,7 +48,7 @@
 	frames     uint64
 	keepalives uint64
 	finished   bool
-	// space is closed when pending is taken or written; nil if nobody waits.
+	// space is closed when pending is taken; nil if nobody waits.
 	space chan struct{}
 }
 
@@ -124,7 +124,7 @@
 	return nil
 }
 
-// waitSpace returns a channel that is closed at the next progress. The caller holds mu.
+// waitSpace returns a channel that is closed when pending is taken. The caller holds mu.
 func (o *outbox) waitSpace() <-chan struct{} {
 	if o.space == nil {
 		o.space = make(chan struct{})
@@ -132,35 +132,6 @@
 	return o.space
 }
 
-// progress wakes those that wait for space or for a flush. The caller holds mu.
-func (o *outbox) progress() {
-	if o.space != nil {
-		close(o.space)
-		o.space = nil
-	}
-}
-
-// flush waits until everything queued so far has been written or the connection
-// is broken.
-func (o *outbox) flush(ctx context.Context) error {
-	o.mu.Lock()
-	target := o.appended
-	for o.written < target {
-		space := o.waitSpace()
-		o.mu.Unlock()
-		select {
-		case <-space:
-		case <-o.closing:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		o.mu.Lock()
-	}
-	o.mu.Unlock()
-	return nil
-}
-
 // sent reports whether the bytes before the position have been written. The answer
 // is final once loop has returned.
 func (o *outbox) sent(position uint64) bool {
@@ -244,7 +215,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	batch, o.pending = o.pending, nil
-	o.progress()
+	if o.space != nil {
+		close(o.space)
+		o.space = nil
+	}
 	return control, batch, o.finished
 }
 
@@ -255,7 +229,6 @@
 	if cap(batch) <= keptBuffer && o.spare == nil {
 		o.spare = batch[:0]
 	}
-	o.progress()
 }
 
 func (o *outbox) write(b []byte) (int, error) {
