transport/router: ready once the router takes part in its zone; scenario of the path passes

Cause: the first run of the scenario refused the first request as noBackend: a router answered ready before it had heard its peers, while it owned nothing. Change: membership.View.Awake is part of readiness; a router finds itself among the contacts of its zone (it never did, so no digest was sent); entries of backend servers in the platform's list are no routers; the sequence of digests begins with the incarnation; scripts start and signal processes by spawn, since testscript can't send SIGTERM. Conclusion: a chat and a call go through two router processes and come back whole.

--- a/cmd/internal/scenario/scenario_test.go
+++ b/cmd/internal/scenario/scenario_test.go
@@ -9,13 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"net/netip"
-
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"amaranthtide"
@@ -47,6 +46,10 @@
 			"ask":    ask,
 			"call":   call,
 			"get":    get,
+			"spawn":  spawn,
+			"signal": signal,
+			"ended":  ended,
+			"pause":  pause,
 		},
 	})
 }
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -407,6 +407,13 @@
 	return slices.Clone(v.live)
 }
 
+// Awake reports whether this router may own anything: it has heard its peers since
+// its start or last pause, and doesn't leave.
+func (v *View) Awake(now time.Time) bool {
+	v.refresh(now)
+	return !v.fenced && !v.leaving && now.Sub(v.lastTick) <= Suspicion(v.interval)
+}
+
 // Hash returns the hash of the view.
 func (v *View) Hash(now time.Time) amaranthtide.ViewHash {
 	v.refresh(now)
--- a/transport/claims/driver.go
+++ b/transport/claims/driver.go
@@ -171,7 +171,7 @@
 
 // Head implements amaranthtide.AnswerWriter.
 func (a *answerBuffer) Head(h amaranthtide.AnswerHead) error {
-	a.Status, a.Answer.Header = h.Status, h.Header
+	a.Status, a.Header = h.Status, h.Header
 	return nil
 }
 
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/membership"
+	"amaranthtide/coordination/placement"
 	"amaranthtide/protocol/message"
 	"amaranthtide/state/load"
 	"amaranthtide/state/roster"
@@ -172,30 +174,46 @@
 	c.sendReport(now)
 }
 
-// List takes in the platform's list of routers.
+// List takes in the platform's list of VMs. Entries of backend servers tell only
+// whether the server leaves.
 func (c *Control) List(now time.Time, vms []amaranthtide.ListedVM) {
 	listed := make(map[amaranthtide.VMName]amaranthtide.ListedVM, len(vms))
+	var routers []amaranthtide.ListedVM
 	for _, vm := range vms {
 		listed[vm.Name] = vm
+		if _, isServer := c.opts.Table.BackendServer(amaranthtide.BackendServerName(vm.Name)); !isServer {
+			routers = append(routers, vm)
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listed = listed
-	c.view.List(now, vms)
+	c.view.List(now, routers)
 }
 
 // TableChanged takes in which VMs and zones are out of service.
 func (c *Control) TableChanged(now time.Time) {
 	revision := c.opts.Table.Revision()
 	out := amaranthtide.NewSet[amaranthtide.VMName]()
+	var declared []amaranthtide.ListedVM
 	for _, row := range c.opts.Table.Rows(amaranthtide.RowVM) {
-		if vm, ok := row.Value.(amaranthtide.VM); ok && vm.OutOfService {
-			out.Add(amaranthtide.VMName(row.Key.Name))
+		vm, ok := row.Value.(amaranthtide.VM)
+		if !ok {
+			continue
+		}
+		name := amaranthtide.VMName(row.Key.Name)
+		declared = append(declared, amaranthtide.ListedVM{Name: name, Zone: vm.Zone, Address: vm.Address})
+		if vm.OutOfService {
+			out.Add(name)
 		}
 	}
 	zone, _ := c.opts.Table.Zone(c.opts.Zone)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.listed == nil {
+		// The platform's list has not been read yet.
+		c.view.List(now, declared)
+	}
 	c.view.SetOutOfService(now, revision, out, zone.OutOfService)
 }
 
@@ -241,12 +259,15 @@
 // IsContact reports whether this router is a contact and reader of its zone, and
 // whether it is the first.
 func (c *Control) IsContact(now time.Time) (contact, first bool) {
-	for i, p := range c.Contacts(now, c.opts.Zone) {
-		if p.Name == c.opts.VM {
-			return true, i == 0
-		}
-	}
-	return false, false
+	i := slices.Index(placement.Contacts(c.opts.Zone, c.Live(now)), c.opts.VM)
+	return i >= 0, i == 0
+}
+
+// Awake reports whether this router takes part in its zone, see membership.View.
+func (c *Control) Awake(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Awake(now)
 }
 
 // Peers returns the routers of this zone that this one talks to.
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -128,7 +128,9 @@
 	}
 	c.mu.Lock()
 	c.sequence++
-	sequence := c.sequence
+	// A digest has no incarnation of its own. Beginning with it keeps the digests of
+	// a restarted router above those of its earlier run.
+	sequence := uint64(c.opts.Incarnation) + c.sequence
 	live := c.view.Live(now)
 	c.mu.Unlock()
 	digest := amaranthtide.Digest{
--- a/transport/metrics/meter_test.go
+++ b/transport/metrics/meter_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	m, err := metrics.New()
 	is.NoErr(err)
-	defer m.Close(t.Context())
+	defer func() { _ = m.Close(t.Context()) }()
 	req := &amaranthtide.Request{Model: "chat"}
 	m.Request(req, time.Second, nil)
 	m.Request(req, time.Second, amaranthtide.Errorf(amaranthtide.KindFull, "full"))
--- a/transport/router/console.go
+++ b/transport/router/console.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 )
@@ -24,14 +25,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Ready reports whether the router has loaded the table and isn't shutting down.
+// Ready reports whether the router has loaded the table, takes part in its zone
+// and isn't shutting down.
 func (r *Router) Ready() bool {
 	if r.draining.Load() {
 		return false
 	}
 	select {
 	case <-r.spread.Loaded():
-		return true
+		return r.control.Awake(time.Now())
 	default:
 		return false
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -248,7 +248,7 @@
 		ErrorLog:          r.opts.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	r.wg.Go(func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			r.opts.Logger.Error("listener failed", "address", l.Addr(), "error", err)
 		}
 	})
