transport/owner, coordination/placement: one owner per group of engines

Cause: with one owner per engine the mean of the cap comes from lower bounds of stale sums. At one request per engine no stale sum can prove that every engine has one, so the cap stays at 1 and the fleet at one request per engine. Change: the engines of one model and zone form a group with one owner, which knows their exact loads; it overflows inside the group in the order of the chat and moves waiting requests to whichever engine gets room. Plans treat a refusal as full as that of the whole group. Routers that only the table declares are talked to as well. The skew over zones is no longer bounded by the owner, only steered by the entries; it is to be measured.

--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -67,8 +67,8 @@
 //	interval = membership.Interval(len(v.Peers(now)), reportBytes, budget)
 //	v.Tick(now, interval) // and send a report with v.Hash(now) to v.Peers(now)
 //	v.Observe(now, report)
-//	if owner, ok := v.Owner(now, server); ok && owner == "vm-1" {
-//		settled := v.Settled(now, server)
+//	if owner, ok := v.Owner(now, group); ok && owner == "vm-1" {
+//		settled := v.Settled(now, group)
 //	}
 package membership
 
@@ -422,9 +422,9 @@
 
 // Owner returns the owner of a server of this zone, and false if there is none or
 // if it would be this router but it owns nothing at present.
-func (v *View) Owner(now time.Time, server amaranthtide.BackendServerName) (amaranthtide.VMName, bool) {
+func (v *View) Owner(now time.Time, group amaranthtide.GroupName) (amaranthtide.VMName, bool) {
 	v.refresh(now)
-	owner, ok := placement.Owner(server, v.live)
+	owner, ok := placement.Owner(group, v.live)
 	if owner == v.cfg.Self && (v.fenced || now.Sub(v.lastTick) > Suspicion(v.interval)) {
 		return "", false
 	}
@@ -432,15 +432,15 @@
 }
 
 // Settled reports whether this router is the owner of the server and settled.
-func (v *View) Settled(now time.Time, server amaranthtide.BackendServerName) bool {
-	owner, ok := v.Owner(now, server)
+func (v *View) Settled(now time.Time, group amaranthtide.GroupName) bool {
+	owner, ok := v.Owner(now, group)
 	if !ok || owner != v.cfg.Self || v.paused(now) {
 		return false
 	}
 	if v.agreed {
 		return true
 	}
-	first, _ := placement.Owner(server, v.union)
+	first, _ := placement.Owner(group, v.union)
 	return !v.selfAbsent && first == v.cfg.Self
 }
 
--- a/coordination/membership/view_test.go
+++ b/coordination/membership/view_test.go
@@ -21,7 +21,7 @@
 	tableMax  = 900 * time.Millisecond // under half the grace
 )
 
-var serverNames = []amaranthtide.BackendServerName{"s1", "s2", "s3", "s4"}
+var serverNames = []amaranthtide.GroupName{"s1", "s2", "s3", "s4"}
 
 // router is one simulated router. Its clock shows offset more than the fleet's.
 type router struct {
@@ -356,7 +356,7 @@
 	is.Equal(a.Live(now), []amaranthtide.VMName{"a"})
 	kept, moved := 0, 0
 	for i := range 50 {
-		if a.Settled(now, amaranthtide.BackendServerName(fmt.Sprint("s", i))) {
+		if a.Settled(now, amaranthtide.GroupName(fmt.Sprint("s", i))) {
 			kept++
 		} else {
 			moved++
@@ -403,7 +403,7 @@
 		hear()
 		report.View = a.Hash(now)
 	}
-	owned := slices.IndexFunc(serverNames, func(s amaranthtide.BackendServerName) bool { return a.Settled(now, s) })
+	owned := slices.IndexFunc(serverNames, func(s amaranthtide.GroupName) bool { return a.Settled(now, s) })
 	is.True(owned >= 0)
 	a.SetOutOfService(now, 1, amaranthtide.NewSet[amaranthtide.VMName]("a"), false)
 	a.SetOutOfService(now, 2, nil, false)
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -25,12 +25,13 @@
 //	for _, z := range p.Zones(zones) {
 //		ranked := p.Servers(candidates[z.Name])
 //	}
-//	owner, ok := placement.Owner(server, liveRouters)
+//	owner, ok := placement.Owner(placement.Group(server, row, len(engines)), liveRouters)
 package placement
 
 import (
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -175,10 +176,35 @@
 	return c[a.index].Server < c[b.index].Server
 }
 
-// Owner returns the owner of the server among the live routers of its zone, and
+// GroupSize is the greatest mean number of engines in a group. One owner counts a
+// group exactly, but must carry all its streams: at 2,000 tokens/s an engine, 12
+// engines stay within the 30,000 tokens/s that a router moves on one core.
+const GroupSize = 12
+
+// Group returns the group of a backend server. The engines of one model in one zone
+// form as few groups as GroupSize allows, so that one router knows the exact sum
+// of their loads; engines is the number of them in the table. A server of a plain
+// service is a group of its own.
+func Group(name amaranthtide.BackendServerName, row amaranthtide.BackendServer, engines int) amaranthtide.GroupName {
+	if row.Model == "" {
+		return amaranthtide.GroupName("server/" + name)
+	}
+	hash := xxhash.Sum64String(string(name))
+	best, bestScore := 0, uint64(0)
+	for i := range (engines + GroupSize - 1) / GroupSize {
+		// Rendezvous hashing: a further group takes engines from all others and moves
+		// none between them.
+		if s := score(hash, xxhash.Sum64String(strconv.Itoa(i))); s > bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return amaranthtide.GroupName("model/" + string(row.Zone) + "/" + string(row.Model) + "/" + strconv.Itoa(best))
+}
+
+// Owner returns the owner of the group among the live routers of its zone, and
 // false if there is none. The order of live doesn't matter.
-func Owner(server amaranthtide.BackendServerName, live []amaranthtide.VMName) (amaranthtide.VMName, bool) {
-	owner, _ := firstTwo(xxhash.Sum64String(string(server)), live)
+func Owner(group amaranthtide.GroupName, live []amaranthtide.VMName) (amaranthtide.VMName, bool) {
+	owner, _ := firstTwo(xxhash.Sum64String(string(group)), live)
 	return owner, owner != ""
 }
 
--- a/coordination/route/plan.go
+++ b/coordination/route/plan.go
@@ -57,9 +57,13 @@
 	queueChoices = 4
 )
 
-// Zone is a zone and its servers that serve the model or route of the request.
+// Zone is a zone, or one group of a zone, and its servers that serve the model or
+// route of the request.
 type Zone struct {
 	Name amaranthtide.ZoneName
+	// Shared tells that one owner overflows among the candidates by itself, so that
+	// its refusal as full speaks for all of them.
+	Shared bool
 	// Candidates are reordered by the plan.
 	Candidates []amaranthtide.Candidate
 }
@@ -247,10 +251,7 @@
 	p.refusal = err
 	switch amaranthtide.KindOf(err) {
 	case amaranthtide.KindFull, amaranthtide.KindDeadlineUnmet:
-		if t.MayQueue {
-			p.gone.Add(t.Server)
-		}
-		p.full.Add(t.Server)
+		p.refusedFull(t)
 	case amaranthtide.KindNotOwner:
 		owner, named := better.Get()
 		if _, before := t.Owner.Get(); before || !named {
@@ -270,6 +271,29 @@
 	}
 }
 
+// refusedFull notes that the target is full, and with it all servers whose owner
+// would have overflowed to them.
+func (p *Plan) refusedFull(t Target) {
+	full := []amaranthtide.BackendServerName{t.Server}
+	for _, z := range p.cfg.Zones {
+		if z.Shared && z.has(t.Server) {
+			for _, c := range z.Candidates {
+				full = append(full, c.Server)
+			}
+		}
+	}
+	for _, server := range full {
+		p.full.Add(server)
+		if t.MayQueue {
+			p.gone.Add(server)
+		}
+	}
+}
+
+func (z Zone) has(server amaranthtide.BackendServerName) bool {
+	return slices.ContainsFunc(z.Candidates, func(c amaranthtide.Candidate) bool { return c.Server == server })
+}
+
 // Failed notes that the request failed after it was sent to the backend server.
 // Shown tells whether the caller has seen any part of the answer.
 func (p *Plan) Failed(now time.Time, err error, shown bool) {
--- a/id.go
+++ b/id.go
@@ -14,6 +14,10 @@
 // BackendServerName names a model engine or a plain service instance.
 type BackendServerName string
 
+// GroupName names a group of backend servers that have one owner: engines of one
+// model in one zone, or a single server of a plain service.
+type GroupName string
+
 // ZoneName names an availability zone.
 type ZoneName string
 
--- a/state/load/ledger.go
+++ b/state/load/ledger.go
@@ -109,20 +109,6 @@
 	l.with(model, func(t *tally) { t.setOwn(server, decide(t.view(now, server))) })
 }
 
-// View returns the load of a model as a decision of an entry sees it. The peers in
-// it are the caller's own.
-func (l *Ledger) View(now time.Time, model amaranthtide.ModelName) View {
-	var v View
-	l.tallies.With(model, func(t *tally, ok bool) {
-		if !ok {
-			return
-		}
-		v = t.view(now, "")
-		v.Peers = slices.Clone(v.Peers)
-	})
-	return v
-}
-
 // Apply takes in a router's report. taken is the earliest time at which it may
 // have been taken: the receive time less a bound of the transit time. A report
 // with the incarnation and sequence of an applied one, or lower ones, is dropped.
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -185,54 +185,108 @@
 			routers = append(routers, vm)
 		}
 	}
+	declared := c.declared()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listed = listed
-	c.view.List(now, routers)
+	c.view.List(now, withDeclared(routers, declared))
+}
+
+// declared returns the routers that the table declares.
+func (c *Control) declared() []amaranthtide.ListedVM {
+	var vms []amaranthtide.ListedVM
+	for _, row := range c.opts.Table.Rows(amaranthtide.RowVM) {
+		if vm, ok := row.Value.(amaranthtide.VM); ok {
+			vms = append(vms, amaranthtide.ListedVM{Name: amaranthtide.VMName(row.Key.Name), Zone: vm.Zone, Address: vm.Address})
+		}
+	}
+	return vms
+}
+
+// withDeclared adds the routers that only the table knows. The platform's list lags
+// and may be out of reach; a report to a router that is gone costs a failed dial.
+func withDeclared(listed, declared []amaranthtide.ListedVM) []amaranthtide.ListedVM {
+	known := amaranthtide.NewSet[amaranthtide.VMName]()
+	for _, vm := range listed {
+		known.Add(vm.Name)
+	}
+	all := slices.Clone(listed)
+	for _, vm := range declared {
+		if !known.Has(vm.Name) {
+			all = append(all, vm)
+		}
+	}
+	return all
 }
 
 // TableChanged takes in which VMs and zones are out of service.
 func (c *Control) TableChanged(now time.Time) {
 	revision := c.opts.Table.Revision()
 	out := amaranthtide.NewSet[amaranthtide.VMName]()
-	var declared []amaranthtide.ListedVM
 	for _, row := range c.opts.Table.Rows(amaranthtide.RowVM) {
 		vm, ok := row.Value.(amaranthtide.VM)
 		if !ok {
 			continue
 		}
-		name := amaranthtide.VMName(row.Key.Name)
-		declared = append(declared, amaranthtide.ListedVM{Name: name, Zone: vm.Zone, Address: vm.Address})
 		if vm.OutOfService {
-			out.Add(name)
+			out.Add(amaranthtide.VMName(row.Key.Name))
 		}
 	}
 	zone, _ := c.opts.Table.Zone(c.opts.Zone)
+	declared := c.declared()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.listed == nil {
-		// The platform's list has not been read yet.
-		c.view.List(now, declared)
+	var listed []amaranthtide.ListedVM
+	for _, vm := range c.listed {
+		if _, isServer := c.opts.Table.BackendServer(amaranthtide.BackendServerName(vm.Name)); !isServer {
+			listed = append(listed, vm)
+		}
 	}
+	c.view.List(now, withDeclared(listed, declared))
 	c.view.SetOutOfService(now, revision, out, zone.OutOfService)
 }
 
-// Owner returns the owner of a server of this zone, as membership.View.Owner.
+// group returns the group of a server and its zone.
+func (c *Control) group(server amaranthtide.BackendServerName) (amaranthtide.GroupName, amaranthtide.ZoneName, bool) {
+	row, ok := c.opts.Table.BackendServer(server)
+	if !ok {
+		return "", "", false
+	}
+	engines := len(c.opts.Table.ServersOfModel(row.Model, row.Zone))
+	return placement.Group(server, row, engines), row.Zone, true
+}
+
+// Owner returns the owner of a server in any reachable zone.
 func (c *Control) Owner(now time.Time, server amaranthtide.BackendServerName) (amaranthtide.VMName, bool) {
+	group, zone, ok := c.group(server)
+	if !ok {
+		return "", false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.view.Owner(now, server)
+	if zone == c.opts.Zone {
+		return c.view.Owner(now, group)
+	}
+	live, ok := c.view.LiveIn(now, zone)
+	if !ok {
+		return "", false
+	}
+	return placement.Owner(group, live)
 }
 
 // Owns reports whether this router owns the server and whether that is settled.
 func (c *Control) Owns(now time.Time, server amaranthtide.BackendServerName) (owns, settled bool) {
+	group, zone, ok := c.group(server)
+	if !ok || zone != c.opts.Zone {
+		return false, false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	owner, ok := c.view.Owner(now, server)
+	owner, ok := c.view.Owner(now, group)
 	if !ok || owner != c.opts.VM {
 		return false, false
 	}
-	return true, c.view.Settled(now, server)
+	return true, c.view.Settled(now, group)
 }
 
 // Live returns the live routers of this zone.
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -18,6 +18,9 @@
 // the next one.
 func (c *Control) sendReport(now time.Time) time.Duration {
 	loads := c.opts.Loads(now)
+	for _, l := range loads {
+		c.note(now, c.opts.VM, l)
+	}
 	c.mu.Lock()
 	peers := c.view.Peers(now)
 	interval := membership.Interval(len(peers), c.reportSize, c.opts.BytesPerSecond)
--- a/transport/dispatch/candidates.go
+++ b/transport/dispatch/candidates.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"amaranthtide"
-	"amaranthtide/coordination/mean"
 	"amaranthtide/coordination/placement"
 	"amaranthtide/coordination/route"
 )
@@ -17,18 +16,44 @@
 	for zone, rows := range servers {
 		weights = append(weights, placement.Zone{Name: zone, Capacity: d.capacity(now, zone, rows)})
 	}
-	limit := d.modelLimit(now, req.Model)
 	place := placement.New(placement.Key(req.Workspace, req.Chat))
 	zones := make([]route.Zone, 0, len(weights))
 	for _, z := range place.Zones(weights) {
 		if z.Capacity == 0 {
 			continue
 		}
-		zones = append(zones, route.Zone{Name: z.Name, Candidates: d.candidates(servers[z.Name], limit)})
+		zones = append(zones, d.groups(place, z.Name, servers[z.Name])...)
 	}
 	return zones
 }
 
+// groups returns the groups of a zone's servers in the order of the chat: that of
+// the chat's first server, then that of the first server outside of it, and so on.
+// The servers of a plain service stay together, since each has its own owner.
+func (d *Dispatcher) groups(place placement.Placement, zone amaranthtide.ZoneName, rows []amaranthtide.Row) []route.Zone {
+	candidates := place.Servers(d.candidates(rows))
+	var groups []route.Zone
+	index := make(map[amaranthtide.GroupName]int)
+	for _, c := range candidates {
+		row, ok := d.opts.Table.BackendServer(c.Server)
+		if !ok {
+			continue
+		}
+		var name amaranthtide.GroupName
+		if row.Model != "" {
+			name = placement.Group(c.Server, row, len(rows))
+		}
+		i, ok := index[name]
+		if !ok {
+			i = len(groups)
+			index[name] = i
+			groups = append(groups, route.Zone{Name: zone, Shared: row.Model != ""})
+		}
+		groups[i].Candidates = append(groups[i].Candidates, c)
+	}
+	return groups
+}
+
 func (d *Dispatcher) servers(req *amaranthtide.Request) map[amaranthtide.ZoneName][]amaranthtide.Row {
 	servers := make(map[amaranthtide.ZoneName][]amaranthtide.Row)
 	if req.Model != "" {
@@ -64,27 +89,7 @@
 	return sum
 }
 
-// modelLimit returns the present cap of a server of the model as far as this
-// router knows.
-func (d *Dispatcher) modelLimit(now time.Time, name amaranthtide.ModelName) int {
-	if name == "" {
-		return unlimited
-	}
-	model, _ := d.opts.Table.Model(name)
-	view := d.opts.Ledger.View(now, name)
-	if view.Servers == 0 {
-		return unlimited
-	}
-	e := mean.Estimate{Own: view.Own, Servers: view.Servers}
-	for _, p := range view.Peers {
-		e.Add(now, p.Taken, p.Sum)
-	}
-	return mean.Cap(e.Total()+1, view.Servers, model.CapMultiple, model.CapFloor)
-}
-
-const unlimited = 1 << 30
-
-func (d *Dispatcher) candidates(rows []amaranthtide.Row, limit int) []amaranthtide.Candidate {
+func (d *Dispatcher) candidates(rows []amaranthtide.Row) []amaranthtide.Candidate {
 	out := make([]amaranthtide.Candidate, 0, len(rows))
 	for _, row := range rows {
 		s, ok := row.Value.(amaranthtide.BackendServer)
@@ -101,7 +106,7 @@
 			Server:   name,
 			Zone:     s.Zone,
 			InFlight: load.InFlight,
-			Limit:    min(most, limit),
+			Limit:    most,
 			LoadTime: received,
 		})
 	}
--- a/transport/dispatch/dispatcher.go
+++ b/transport/dispatch/dispatcher.go
@@ -17,11 +17,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"amaranthtide"
-	"amaranthtide/coordination/placement"
 	"amaranthtide/coordination/quota"
 	"amaranthtide/coordination/retry"
 	"amaranthtide/coordination/route"
-	"amaranthtide/state/load"
 	"amaranthtide/state/shard"
 	"amaranthtide/state/table"
 )
@@ -41,7 +39,6 @@
 	VM        amaranthtide.VMName
 	Zone      amaranthtide.ZoneName
 	Table     *table.Table
-	Ledger    *load.Ledger
 	Control   Control
 	Owner     amaranthtide.Owner
 	Forwarder amaranthtide.Forwarder
@@ -128,7 +125,7 @@
 func (d *Dispatcher) owner(now time.Time, target route.Target) (amaranthtide.VMName, netip.AddrPort, error) {
 	vm, ok := target.Owner.Get()
 	if !ok {
-		vm, ok = d.ownerInView(now, target)
+		vm, ok = d.opts.Control.Owner(now, target.Server)
 	}
 	if !ok {
 		return "", netip.AddrPort{}, amaranthtide.Errorf(amaranthtide.KindNoBackend, "no live router owns %s", target.Server)
@@ -143,17 +140,6 @@
 	return vm, addr, nil
 }
 
-func (d *Dispatcher) ownerInView(now time.Time, target route.Target) (amaranthtide.VMName, bool) {
-	if target.Zone == d.opts.Zone {
-		return d.opts.Control.Owner(now, target.Server)
-	}
-	live, ok := d.opts.Control.LiveIn(now, target.Zone)
-	if !ok {
-		return "", false
-	}
-	return placement.Owner(target.Server, live)
-}
-
 // attemptWriter checks that an answer is that of its attempt.
 type attemptWriter struct {
 	amaranthtide.AnswerWriter
--- /dev/null
+++ b/transport/owner/admit.go
@@ -0,0 +1,225 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/admission"
+	"amaranthtide/coordination/fairness"
+	"amaranthtide/coordination/placement"
+)
+
+// grant tells a request that waited where it may start, or why it will not.
+type grant struct {
+	server amaranthtide.BackendServerName
+	err    error
+}
+
+// member is a server of a group.
+type member struct {
+	name amaranthtide.BackendServerName
+	row  amaranthtide.BackendServer
+}
+
+// admit returns the server at which the request has got a slot: the given one, or
+// another of its group.
+func (o *Owner) admit(ctx context.Context, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request) (amaranthtide.BackendServerName, error) {
+	members := o.inOrder(req, member{server, row})
+	var queueAt *member
+	var refusal error
+	for i, m := range members {
+		err := o.submit(m, req, nil)
+		if err == nil {
+			return m.name, nil
+		}
+		if refusal == nil || amaranthtide.IsKind(refusal, amaranthtide.KindNotOwner) {
+			refusal = err
+		}
+		if queueAt == nil && amaranthtide.IsKind(err, amaranthtide.KindFull) {
+			queueAt = &members[i]
+		}
+		if amaranthtide.IsKind(err, amaranthtide.KindDeadlineUnmet) {
+			return "", err
+		}
+	}
+	if queueAt == nil || !req.MayQueue {
+		return "", refusal
+	}
+	granted := make(chan grant, 1)
+	if err := o.submit(*queueAt, req, granted); err != nil {
+		return "", err
+	}
+	o.notify()
+	return o.wait(ctx, members, req, granted)
+}
+
+// inOrder returns the first server and after it the others of its group in the
+// order of the chat.
+func (o *Owner) inOrder(req *amaranthtide.Request, first member) []member {
+	group := o.group(first)
+	candidates := make([]amaranthtide.Candidate, 0, len(group))
+	rows := make(map[amaranthtide.BackendServerName]amaranthtide.BackendServer, len(group))
+	for _, m := range group {
+		if m.name != first.name {
+			candidates = append(candidates, amaranthtide.Candidate{Server: m.name})
+			rows[m.name] = m.row
+		}
+	}
+	ordered := []member{first}
+	for _, c := range placement.New(placement.Key(req.Workspace, req.Chat)).Servers(candidates) {
+		ordered = append(ordered, member{c.Server, rows[c.Server]})
+	}
+	return ordered
+}
+
+// group returns the servers of the group of m. A server of a plain service is alone.
+func (o *Owner) group(m member) []member {
+	if m.row.Model == "" || o.opts.Unbounded {
+		return []member{m}
+	}
+	all := o.opts.Table.ServersOfModel(m.row.Model, m.row.Zone)
+	name := placement.Group(m.name, m.row, len(all))
+	var group []member
+	for _, r := range all {
+		row, ok := r.Value.(amaranthtide.BackendServer)
+		server := amaranthtide.BackendServerName(r.Key.Name)
+		if ok && placement.Group(server, row, len(all)) == name {
+			group = append(group, member{server, row})
+		}
+	}
+	return group
+}
+
+// submit asks for a slot at a server. With a channel the request may wait, and the
+// channel gets the outcome unless submit returns an error; it gets it at once if
+// the request starts at once.
+func (o *Owner) submit(m member, req *amaranthtide.Request, granted chan grant) error {
+	return o.submitTicket(m, fairness.Ticket{
+		Attempt:   req.Attempt,
+		Workspace: req.Workspace,
+		Class:     req.Class,
+		Weight:    req.Weight,
+		Cost:      req.Cost,
+		Deadline:  req.Deadline,
+	}, granted)
+}
+
+func (o *Owner) submitTicket(m member, t fairness.Ticket, granted chan grant) error {
+	return o.decide(time.Now(), m.name, m.row, func(now time.Time, s *station, l admission.Limits) error {
+		decision, err := s.gate.Submit(now, admission.Ticket{Ticket: t, MayQueue: granted != nil}, l)
+		switch {
+		case decision == admission.Queued:
+			s.waiting[t.Attempt] = granted
+		case decision == admission.Admitted && granted != nil:
+			granted <- grant{server: m.name}
+		}
+		return err
+	})
+}
+
+// wait blocks until a queued request may start.
+func (o *Owner) wait(ctx context.Context, members []member, req *amaranthtide.Request, granted chan grant) (amaranthtide.BackendServerName, error) {
+	select {
+	case g := <-granted:
+		return g.server, g.err
+	case <-ctx.Done():
+	}
+	if !o.withdraw(members, req.Attempt) {
+		// Granted meanwhile, or on the way from one server to another.
+		if g := <-granted; g.err == nil {
+			o.release(g.server, req.Attempt)
+		}
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return "", amaranthtide.Errorf(amaranthtide.KindDeadlineUnmet, "deadline passed in the queue of %s", members[0].name)
+	}
+	return "", amaranthtide.Errorf(amaranthtide.KindCanceled, "canceled in the queue of %s", members[0].name)
+}
+
+// withdraw takes a waiting request out of whichever queue holds it.
+func (o *Owner) withdraw(members []member, attempt amaranthtide.AttemptID) bool {
+	found := false
+	for _, m := range members {
+		o.update(time.Now(), m.name, func(now time.Time, s *station) {
+			if _, ok := s.waiting[attempt]; ok {
+				found = true
+				delete(s.waiting, attempt)
+				s.gate.Cancel(now, attempt)
+			}
+		})
+	}
+	return found
+}
+
+func (o *Owner) release(server amaranthtide.BackendServerName, attempt amaranthtide.AttemptID) {
+	o.update(time.Now(), server, func(now time.Time, s *station) { s.gate.Cancel(now, attempt) })
+	o.notify()
+}
+
+// rebalance moves requests that wait at one server of a group to others that have
+// room, so that no engine idles while requests wait for its neighbors.
+func (o *Owner) rebalance(now time.Time, m member) {
+	group := o.group(m)
+	if len(group) < 2 {
+		return
+	}
+	for range maxMoves {
+		from, ok := o.longestQueue(group)
+		if !ok {
+			return
+		}
+		to, ok := o.withRoom(now, group)
+		if !ok {
+			return
+		}
+		o.move(from, to)
+	}
+}
+
+// maxMoves bounds the work of one rebalance; the next tick goes on.
+const maxMoves = 64
+
+func (o *Owner) longestQueue(group []member) (member, bool) {
+	var longest member
+	most := 0
+	for _, m := range group {
+		o.gates.With(m.name, func(s *station, ok bool) {
+			if ok && s.gate.Waiting() > most {
+				longest, most = m, s.gate.Waiting()
+			}
+		})
+	}
+	return longest, most > 0
+}
+
+func (o *Owner) withRoom(now time.Time, group []member) (member, bool) {
+	for _, m := range group {
+		room := false
+		_ = o.decide(now, m.name, m.row, func(now time.Time, s *station, l admission.Limits) error {
+			room = s.gate.Room(now, l)
+			return nil
+		})
+		if room {
+			return m, true
+		}
+	}
+	return member{}, false
+}
+
+func (o *Owner) move(from, to member) {
+	var ticket fairness.Ticket
+	var granted chan grant
+	o.update(time.Now(), from.name, func(_ time.Time, s *station) {
+		if t, ok := s.gate.Take(); ok {
+			ticket, granted = t, s.waiting[t.Attempt]
+			delete(s.waiting, t.Attempt)
+		}
+	})
+	if granted == nil {
+		return
+	}
+	if err := o.submitTicket(to, ticket, granted); err != nil {
+		granted <- grant{err: err}
+	}
+}
--- a/transport/owner/loop.go
+++ b/transport/owner/loop.go
@@ -51,7 +51,10 @@
 	})
 	left := false
 	for _, server := range waiting {
-		_ = o.update(now, server, func(_ time.Time, s *station) { left = left || s.gate.Waiting() > 0 })
+		o.update(now, server, func(_ time.Time, s *station) { left = left || s.gate.Waiting() > 0 })
+		if row, ok := o.opts.Table.BackendServer(server); ok {
+			o.rebalance(now, member{server, row})
+		}
 	}
 	return left
 }
--- a/transport/owner/owner.go
+++ b/transport/owner/owner.go
@@ -11,6 +11,10 @@
 // Each backend server has a gate in a sharded map; decisions about a server run
 // under the lock of its shard and, inside of it, under that of its model in the
 // ledger.
+//
+// The engines of one group have one owner, which knows their exact loads. A request
+// whose engine is full goes to the next one in the order of its chat, and a request
+// that waits at one engine moves to another that gets room first.
 package owner
 
 import (
@@ -22,7 +26,6 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/admission"
-	"amaranthtide/coordination/fairness"
 	"amaranthtide/coordination/ramp"
 	"amaranthtide/state/load"
 	"amaranthtide/state/shard"
@@ -88,7 +91,7 @@
 	gate    *admission.Gate
 	model   amaranthtide.ModelName
 	config  admission.Config
-	waiting map[amaranthtide.AttemptID]chan error
+	waiting map[amaranthtide.AttemptID]chan grant
 	// downUntil is when a plain service that refused a connection is tried again.
 	downUntil time.Time
 	// refusedUntil is when a server that refused a request as leaving is tried again.
@@ -138,60 +141,12 @@
 		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
 		defer cancel()
 	}
-	if err := o.admit(ctx, server, row, req); err != nil {
-		return err
-	}
-	return o.send(ctx, server, row, req, w)
-}
-
-// admit returns nil once the request has a slot at the server.
-func (o *Owner) admit(ctx context.Context, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request) error {
-	ticket := admission.Ticket{
-		Ticket: fairness.Ticket{
-			Attempt:   req.Attempt,
-			Workspace: req.Workspace,
-			Class:     req.Class,
-			Weight:    req.Weight,
-			Cost:      req.Cost,
-			Deadline:  req.Deadline,
-		},
-		MayQueue: req.MayQueue,
-	}
-	var granted chan error
-	err := o.decide(time.Now(), server, row, func(now time.Time, s *station, l admission.Limits) error {
-		decision, err := s.gate.Submit(now, ticket, l)
-		if decision == admission.Queued {
-			granted = make(chan error, 1)
-			s.waiting[req.Attempt] = granted
-		}
-		return err
-	})
-	if err != nil || granted == nil {
-		return err
-	}
-	o.notify()
-	return o.wait(ctx, server, row, req, granted)
-}
-
-// wait blocks until a queued request may start.
-func (o *Owner) wait(ctx context.Context, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request, granted chan error) error {
-	select {
-	case err := <-granted:
-		return err
-	case <-ctx.Done():
-	}
-	err := o.decide(time.Now(), server, row, func(now time.Time, s *station, _ admission.Limits) error {
-		delete(s.waiting, req.Attempt)
-		s.gate.Cancel(now, req.Attempt)
-		return nil
-	})
+	server, err := o.admit(ctx, server, row, req)
 	if err != nil {
 		return err
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return amaranthtide.Errorf(amaranthtide.KindDeadlineUnmet, "deadline passed in the queue of %s", server)
-	}
-	return amaranthtide.Errorf(amaranthtide.KindCanceled, "canceled in the queue of %s", server)
+	row, _ = o.opts.Table.BackendServer(server)
+	return o.send(ctx, server, row, req, w)
 }
 
 // decide runs f and then starts what may start, under the locks of the server.
@@ -228,7 +183,7 @@
 		gate:    admission.New(now, cfg),
 		model:   row.Model,
 		config:  cfg,
-		waiting: make(map[amaranthtide.AttemptID]chan error),
+		waiting: make(map[amaranthtide.AttemptID]chan grant),
 	}
 	if l, ok := o.opts.Control.Resumable(now, server, o.opts.Resume); ok {
 		s.gate.Resume(now, l.Boot, l.Allowance)
@@ -262,16 +217,16 @@
 func (s *station) startNext(now time.Time, l admission.Limits) {
 	started, refused := s.gate.Next(now, l)
 	for _, t := range started {
-		s.resolve(t.Attempt, nil)
+		s.resolve(t.Attempt, grant{server: s.config.Server})
 	}
 	for _, r := range refused {
-		s.resolve(r.Ticket.Attempt, r.Err)
+		s.resolve(r.Ticket.Attempt, grant{err: r.Err})
 	}
 }
 
-func (s *station) resolve(attempt amaranthtide.AttemptID, err error) {
+func (s *station) resolve(attempt amaranthtide.AttemptID, g grant) {
 	if granted, ok := s.waiting[attempt]; ok {
 		delete(s.waiting, attempt)
-		granted <- err
+		granted <- g
 	}
 }
--- a/transport/owner/send.go
+++ b/transport/owner/send.go
@@ -60,6 +60,7 @@
 		}
 		return nil
 	})
+	o.rebalance(time.Now(), member{server, row})
 	o.notify()
 }
 
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -23,7 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"amaranthtide"
-	"amaranthtide/coordination/placement/rendezvous"
+	"amaranthtide/coordination/placement/plain"
 	"amaranthtide/protocol/settings"
 	"amaranthtide/state/load"
 	"amaranthtide/state/table"
@@ -46,7 +46,8 @@
 type Options struct {
 	// Logger gets the router's log; nil logs nothing.
 	Logger hclog.Logger
-	// Policy orders backend servers; nil is that of the package rendezvous.
+	// Policy orders backend servers; nil is the rendezvous order of the chat (package
+	// plain): the owner of a group, which knows the exact loads, overflows inside it.
 	Policy amaranthtide.Policy
 	// Unbounded lifts caps and ramps, for measurements against baselines.
 	Unbounded bool
@@ -103,7 +104,7 @@
 		opts.Logger = hclog.NewNullLogger()
 	}
 	if opts.Policy == nil {
-		opts.Policy = rendezvous.Policy{}
+		opts.Policy = plain.Policy{}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Router{cfg: cfg, opts: opts, ctx: ctx, cancel: cancel}
@@ -210,7 +211,6 @@
 		VM:        cfg.Router.VM,
 		Zone:      cfg.Router.Zone,
 		Table:     r.table,
-		Ledger:    r.ledger,
 		Control:   r.control,
 		Owner:     r.owner,
 		Forwarder: r.mesh,
