transport/groups: exact mean over the zones by prompt sums between group owners

Change: owners of a model's groups tell each other servers, requests in flight and waiting at each change, at most every 25 ms, so that silence means no change; the lower bound of the mean takes waiting requests as replacements of finished ones; servers that are down or out of reach leave the mean. Reports and digests no longer feed the mean of other zones.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -246,6 +246,7 @@
 		Server:               g.cfg.Server,
 		Boot:                 g.ramp.Boot(),
 		InFlight:             len(g.running),
+		Waiting:              g.queue.Len(),
 		Allowance:            g.ramp.Allowance(now),
 		CompletionsPerSecond: g.rateAt(now),
 	}
--- a/coordination/mean/estimate.go
+++ b/coordination/mean/estimate.go
@@ -65,9 +65,11 @@
 
 // Add adds what another router reported: the sum of InFlight and of
 // CompletionsPerSecond over the model's servers. taken is the earliest time at
-// which the report may have been taken. Add each router once.
+// which the report may have been taken. Requests that waited take the places of
+// those that finished. Add each router once.
 func (e *Estimate) Add(now, taken time.Time, sum amaranthtide.ServerLoad) {
-	e.others += max(0, sum.InFlight-finished(now.Sub(taken), sum.CompletionsPerSecond))
+	gone := max(0, finished(now.Sub(taken), sum.CompletionsPerSecond)-sum.Waiting)
+	e.others += max(0, sum.InFlight-gone)
 }
 
 // Total returns the lower bound of the sum over all routers.
@@ -79,12 +81,12 @@
 		return 0
 	}
 	if age > Staleness {
-		return math.MaxInt32
+		return math.MaxInt
 	}
 	n := rateMargin*max(0, perSecond)*age.Seconds() + 1
 	// Negated, so that NaN counts as everything.
 	if !(n < math.MaxInt32) {
-		return math.MaxInt32
+		return math.MaxInt
 	}
 	return int(n)
 }
--- a/protocol/message/control.go
+++ b/protocol/message/control.go
@@ -6,6 +6,7 @@
 	TopicDigest        = "digest"
 	TopicChanges       = "changes"
 	TopicChangesWanted = "changesWanted"
+	TopicGroupLoad     = "groupLoad"
 )
 
 // Control carries one control message.
--- /dev/null
+++ b/protocol/message/group.go
@@ -0,0 +1,47 @@
+package message
+
+import (
+	"time"
+
+	"amaranthtide"
+)
+
+// GroupLoad is the wire form of amaranthtide.GroupLoad. It is sent at almost every
+// change of a load, hence an array.
+type GroupLoad struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
+
+	Group       string
+	Model       string
+	From        string
+	Incarnation uint64
+	Sequence    uint64
+	Servers     uint32
+	InFlight    uint32
+	Waiting     uint32
+	RateMilli   uint32
+	GapMillis   uint32
+}
+
+// NewGroupLoad returns the wire form of g. The gap is rounded up to milliseconds.
+func NewGroupLoad(g amaranthtide.GroupLoad) *GroupLoad {
+	return &GroupLoad{
+		Group: string(g.Group), Model: string(g.Model), From: string(g.From),
+		Incarnation: uint64(g.Incarnation), Sequence: g.Sequence,
+		Servers: clampCount(g.Servers), InFlight: clampCount(g.InFlight), Waiting: clampCount(g.Waiting),
+		RateMilli: rateMilli(g.CompletionsPerSecond), GapMillis: millisUp(g.Gap),
+	}
+}
+
+// Root returns the load.
+func (m *GroupLoad) Root() amaranthtide.GroupLoad {
+	return amaranthtide.GroupLoad{
+		Group: amaranthtide.GroupName(m.Group), Model: amaranthtide.ModelName(m.Model), From: amaranthtide.VMName(m.From),
+		Incarnation: amaranthtide.Incarnation(m.Incarnation), Sequence: m.Sequence,
+		Servers: int(m.Servers), InFlight: int(m.InFlight), Waiting: int(m.Waiting),
+		CompletionsPerSecond: float64(m.RateMilli) / 1000,
+		Gap:                  time.Duration(m.GapMillis) * time.Millisecond,
+	}
+}
+
+func (m *GroupLoad) check() error { return checkNames(m.Group, m.Model, m.From) }
--- a/request.go
+++ b/request.go
@@ -70,12 +70,32 @@
 	Boot   BootID
 	// InFlight counts the requests admitted and not finished.
 	InFlight int
+	// Waiting counts the queued requests, which take the places of those that finish.
+	Waiting int
 	// Allowance is the ramp's present limit.
 	Allowance int
 	// CompletionsPerSecond is a running mean of the completion rate.
 	CompletionsPerSecond float64
 }
 
+// GroupLoad is the load of one group of engines, as its owner tells the owners of
+// the model's other groups.
+type GroupLoad struct {
+	Group       GroupName
+	Model       ModelName
+	From        VMName
+	Incarnation Incarnation
+	Sequence    uint64
+	// Servers counts the engines in service that the owner reaches.
+	Servers  int
+	InFlight int
+	Waiting  int
+	// CompletionsPerSecond is a running mean of the completion rate.
+	CompletionsPerSecond float64
+	// Gap is the longest time for which a change goes untold.
+	Gap time.Duration
+}
+
 // Report is what a router tells the other routers of its zone about itself.
 type Report struct {
 	VM          VMName
--- a/state/load/ledger.go
+++ b/state/load/ledger.go
@@ -60,13 +60,16 @@
 	// Sum holds the sums of InFlight and CompletionsPerSecond over the model's
 	// servers in service; its other fields are empty.
 	Sum amaranthtide.ServerLoad
+	// Servers is the number of engines behind Sum that this router doesn't own.
+	Servers int
 }
 
 // View is the load of a model as one decision sees it.
 type View struct {
 	// Own is the exact sum over the model's servers in service by way of this router.
 	Own int
-	// Servers is the number of the model's servers in service; 0 without a model.
+	// Servers is the number of the model's servers in service, those of other groups
+	// included; 0 without a model.
 	Servers int
 	// InFlight is the part of Own at the decision's server.
 	InFlight int
@@ -183,6 +186,8 @@
 	peers  []Peer
 	orders []order
 	loads  [][]amaranthtide.ServerLoad
+	// groups are the other groups of the model.
+	groups map[amaranthtide.GroupName]groupEntry
 }
 
 func newTally(hasMean bool) *tally {
@@ -191,6 +196,7 @@
 		own:      make(map[amaranthtide.BackendServerName]int),
 		external: make(map[amaranthtide.BackendServerName]int),
 		index:    make(map[source]int),
+		groups:   make(map[amaranthtide.GroupName]groupEntry),
 	}
 }
 
@@ -227,6 +233,7 @@
 	v := View{Own: t.ownSum, InFlight: t.own[server], External: t.external[server], Peers: t.peers}
 	if t.hasMean {
 		v.Servers = len(t.inService)
+		t.addGroups(now, &v)
 	}
 	return v
 }
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -210,7 +210,6 @@
 	c.view.ObserveDigest(now, d)
 	peers := c.view.Peers(now)
 	c.mu.Unlock()
-	c.opts.Ledger.ApplyDigest(now.Add(-transit), d)
 	for _, l := range d.Loads {
 		c.loads.Set(l.Server, known{l, d.From, now})
 	}
--- /dev/null
+++ b/transport/groups/exchange.go
@@ -0,0 +1,248 @@
+// Package groups tells the owners of a model's groups each other's loads, so that
+// the cap of an engine follows the mean of the model over all reachable zones.
+//
+// A change is told at once, but not before the gap since the last message has
+// passed, and each load is told about twice a second even without a change.
+//
+// # Usage
+//
+//	e := groups.New(groups.Options{VM: "vm-1", Incarnation: inc, Mesh: m, Table: t, Ledger: l,
+//		Control: c, Owner: o})
+//	if err := e.Start(); err != nil {
+//		return err
+//	}
+//	defer e.Close()
+package groups
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/protocol/message"
+	"amaranthtide/state/load"
+	"amaranthtide/state/table"
+	"amaranthtide/transport/mesh"
+)
+
+// Mesh is the part of transport/mesh that an Exchange uses.
+type Mesh interface {
+	Publisher() watermill.Publisher
+	Subscriber() watermill.Subscriber
+}
+
+// Owner tells the loads of the groups that this router owns.
+type Owner interface {
+	GroupLoads(now time.Time) []amaranthtide.GroupLoad
+	// Changed gets a value when a load may have changed.
+	Changed() <-chan struct{}
+}
+
+// Control tells who owns the other groups.
+type Control interface {
+	Owner(now time.Time, server amaranthtide.BackendServerName) (amaranthtide.VMName, bool)
+	Address(vm amaranthtide.VMName) (netip.AddrPort, bool)
+}
+
+// Options are the parts that an Exchange works with. All but Logger are required.
+type Options struct {
+	VM          amaranthtide.VMName
+	Incarnation amaranthtide.Incarnation
+	Mesh        Mesh
+	Table       *table.Table
+	Ledger      *load.Ledger
+	Control     Control
+	Owner       Owner
+	Logger      hclog.Logger
+}
+
+const (
+	// minGap bounds the messages of a group to 40 a second. Below it, the cap of small
+	// loads gains nothing that the transit doesn't take.
+	minGap = 25 * time.Millisecond
+	// bytesPerSecond paces an owner with many receivers: 32 groups of a model, as at
+	// the target size, get a message about every 0.4 s.
+	bytesPerSecond = 5000
+	messageBytes   = 64
+	// heartbeat is the time after which a load is told even without a change.
+	heartbeat = 500 * time.Millisecond
+)
+
+// Exchange is concurrent-safe. Use New.
+type Exchange struct {
+	opts     Options
+	sequence uint64
+	last     map[amaranthtide.GroupName]sent
+	// receivers are the owners of the other groups of a model, looked up once a heartbeat.
+	receivers map[amaranthtide.ModelName][]netip.AddrPort
+	looked    time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+type sent struct {
+	servers, inFlight, waiting int
+	at                         time.Time
+}
+
+// New returns an Exchange that does nothing until Start.
+func New(opts Options) *Exchange {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Exchange{
+		opts:      opts,
+		last:      make(map[amaranthtide.GroupName]sent),
+		receivers: make(map[amaranthtide.ModelName][]netip.AddrPort),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+}
+
+// Start subscribes to the loads of other groups and begins to tell those of its own.
+func (e *Exchange) Start() error {
+	messages, err := e.opts.Mesh.Subscriber().Subscribe(e.ctx, message.TopicGroupLoad)
+	if err != nil {
+		return err
+	}
+	e.wg.Go(func() { e.loop(messages) })
+	e.wg.Go(e.run)
+	return nil
+}
+
+// Close stops the exchange and waits for its goroutines.
+func (e *Exchange) Close() {
+	e.cancel()
+	e.wg.Wait()
+}
+
+func (e *Exchange) loop(messages <-chan *watermill.Message) {
+	for msg := range messages {
+		msg.Ack()
+		var m message.GroupLoad
+		if err := message.Decode(msg.Payload, &m); err != nil {
+			e.opts.Logger.Warn("group load dropped", "error", err)
+			continue
+		}
+		e.opts.Ledger.ApplyGroup(time.Now(), m.Root())
+	}
+}
+
+// run tells loads when they have changed, and twice a second.
+func (e *Exchange) run() {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-e.opts.Owner.Changed():
+		case <-ticker.C:
+		}
+		gap := e.tell(time.Now())
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-time.After(gap):
+		}
+	}
+}
+
+// tell sends the loads that have changed or are due and returns the gap until the
+// next messages.
+func (e *Exchange) tell(now time.Time) time.Duration {
+	loads := e.opts.Owner.GroupLoads(now)
+	if now.Sub(e.looked) >= heartbeat {
+		e.lookUp(now, loads)
+	}
+	gap := e.gap(loads)
+	for _, g := range loads {
+		state := sent{g.Servers, g.InFlight, g.Waiting, now}
+		last := e.last[g.Group]
+		changed := last.servers != state.servers || last.inFlight != state.inFlight || last.waiting != state.waiting
+		if !changed && now.Sub(last.at) < heartbeat {
+			continue
+		}
+		e.last[g.Group] = state
+		e.sequence++
+		g.From, g.Incarnation, g.Sequence, g.Gap = e.opts.VM, e.opts.Incarnation, e.sequence, gap
+		e.publish(g)
+	}
+	return gap
+}
+
+func (e *Exchange) gap(loads []amaranthtide.GroupLoad) time.Duration {
+	receivers := 0
+	for _, g := range loads {
+		receivers += len(e.receivers[g.Model])
+	}
+	return max(minGap, time.Duration(receivers)*messageBytes*time.Second/bytesPerSecond)
+}
+
+// lookUp finds the owners of the other groups of the models of loads.
+func (e *Exchange) lookUp(now time.Time, loads []amaranthtide.GroupLoad) {
+	e.looked = now
+	clear(e.receivers)
+	for _, g := range loads {
+		if _, done := e.receivers[g.Model]; !done {
+			e.receivers[g.Model] = e.owners(now, g.Model)
+		}
+	}
+}
+
+func (e *Exchange) owners(now time.Time, model amaranthtide.ModelName) []netip.AddrPort {
+	seen := amaranthtide.NewSet[amaranthtide.GroupName]()
+	var addrs []netip.AddrPort
+	for _, zone := range e.opts.Table.Zones() {
+		rows := e.opts.Table.ServersOfModel(model, amaranthtide.ZoneName(zone.Key.Name))
+		for _, row := range rows {
+			value, ok := row.Value.(amaranthtide.BackendServer)
+			server := amaranthtide.BackendServerName(row.Key.Name)
+			group := placement.Group(server, value, len(rows))
+			if !ok || seen.Has(group) {
+				continue
+			}
+			seen.Add(group)
+			vm, ok := e.opts.Control.Owner(now, server)
+			if !ok || vm == e.opts.VM {
+				continue
+			}
+			if addr, ok := e.opts.Control.Address(vm); ok && !slices.Contains(addrs, addr) {
+				addrs = append(addrs, addr)
+			}
+		}
+	}
+	return addrs
+}
+
+func (e *Exchange) publish(g amaranthtide.GroupLoad) {
+	to := e.receivers[g.Model]
+	if len(to) == 0 {
+		return
+	}
+	payload, err := message.Append(nil, message.NewGroupLoad(g))
+	if err != nil {
+		e.opts.Logger.Error("group load can't be encoded", "error", err)
+		return
+	}
+	texts := make([]string, len(to))
+	for i, a := range to {
+		texts[i] = a.String()
+	}
+	msg := watermill.NewMessage("", payload)
+	msg.Metadata.Set(mesh.MetadataPeers, strings.Join(texts, ","))
+	if err := e.opts.Mesh.Publisher().Publish(message.TopicGroupLoad, msg); err != nil {
+		e.opts.Logger.Debug("publish group load", "error", err)
+	}
+}
--- a/transport/owner/loop.go
+++ b/transport/owner/loop.go
@@ -65,27 +65,33 @@
 	row, inTable := o.opts.Table.BackendServer(server)
 	owns, settled := o.opts.Control.Owns(now, server)
 	owns = owns && inTable
-	found := false
+	found, turned := false, false
+	var served amaranthtide.ModelName
 	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
 		if !ok {
 			return nil, false
 		}
-		found = true
+		found, served = true, s.model
+		leaving := o.leaving(now, s, server, row)
 		s.gate.SetOwned(now, owns)
-		s.gate.SetLeaving(o.leaving(now, s, server, row))
+		s.gate.SetLeaving(leaving)
 		model, _ := o.opts.Table.Model(s.model)
 		o.opts.Ledger.Update(now, s.model, server, func(v load.View) int {
 			if !s.downUntil.IsZero() && s.model == "" && now.After(s.downUntil) {
-				s.gate.SetDown(false)
+				s.setDown(false)
 				s.downUntil = time.Time{}
 			}
 			s.startNext(now, o.limits(now, s, v, model, settled))
 			f(now, s)
 			return s.gate.InFlight()
 		})
+		turned = s.turn(owns && !leaving)
 		// A gate that lost its server goes when its last request has finished.
 		return s, owns || s.gate.InFlight() > 0 || s.gate.Waiting() > 0
 	})
+	if turned {
+		o.refresh(served)
+	}
 	return found
 }
 
@@ -158,10 +164,10 @@
 func (o *Owner) Probed(asked time.Time, server amaranthtide.BackendServerName, r amaranthtide.EngineReport, err error) {
 	o.update(time.Now(), server, func(now time.Time, s *station) {
 		if err != nil {
-			s.gate.SetDown(true)
+			s.setDown(true)
 			return
 		}
-		s.gate.SetDown(false)
+		s.setDown(false)
 		s.gate.Observe(now, asked, r)
 	})
 	o.notify()
--- a/transport/owner/owner.go
+++ b/transport/owner/owner.go
@@ -26,6 +26,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/admission"
+	"amaranthtide/coordination/placement"
 	"amaranthtide/coordination/ramp"
 	"amaranthtide/state/load"
 	"amaranthtide/state/shard"
@@ -83,7 +84,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
-	wg     sync.WaitGroup
+	// changed gets a value when the load of a group may have changed.
+	changed chan struct{}
+	wg      sync.WaitGroup
 }
 
 // station is a gate with the requests that wait at it.
@@ -96,6 +99,10 @@
 	downUntil time.Time
 	// refusedUntil is when a server that refused a request as leaving is tried again.
 	refusedUntil time.Time
+	// down and up tell whether the server is out of reach, and whether it counts in
+	// the mean of its model.
+	down, up bool
+	group    amaranthtide.GroupName
 }
 
 var _ amaranthtide.Owner = (*Owner)(nil)
@@ -110,11 +117,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
-		opts:   opts,
-		gates:  shard.New[amaranthtide.BackendServerName, *station](),
-		ctx:    ctx,
-		cancel: cancel,
-		wake:   make(chan struct{}, 1),
+		opts:    opts,
+		gates:   shard.New[amaranthtide.BackendServerName, *station](),
+		ctx:     ctx,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		changed: make(chan struct{}, 1),
 	}
 	o.wg.Go(o.run)
 	return o
@@ -153,23 +161,109 @@
 func (o *Owner) decide(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, f func(now time.Time, s *station, l admission.Limits) error) error {
 	owns, settled := o.opts.Control.Owns(now, server)
 	model, _ := o.opts.Table.Model(row.Model)
+	o.ensure(now, server, row, owns)
 	var err error
+	turned := false
 	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
 		if !ok {
 			s = o.newStation(now, server, row)
 		}
+		leaving := o.leaving(now, s, server, row)
 		s.gate.SetOwned(now, owns)
-		s.gate.SetLeaving(o.leaving(now, s, server, row))
+		s.gate.SetLeaving(leaving)
 		o.opts.Ledger.Update(now, row.Model, server, func(v load.View) int {
 			err = f(now, s, o.limits(now, s, v, model, settled))
 			s.startNext(now, o.limits(now, s, v, model, settled))
 			return s.gate.InFlight()
 		})
+		turned = s.turn(owns && !leaving)
 		return s, true
 	})
+	if turned {
+		o.refresh(row.Model)
+	}
+	o.notifyChanged()
 	return err
 }
 
+// ensure makes the station of a server, and counts the server in the mean of its
+// model before the first decision about it.
+func (o *Owner) ensure(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, owns bool) {
+	if _, ok := o.gates.Get(server); ok {
+		return
+	}
+	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
+		if !ok {
+			s = o.newStation(now, server, row)
+			s.up = owns
+		}
+		return s, true
+	})
+	o.refresh(row.Model)
+}
+
+// turn notes whether the server counts in the mean and reports whether that changed.
+func (s *station) turn(inService bool) bool {
+	up := inService && !s.down
+	changed := up != s.up
+	s.up = up
+	return changed
+}
+
+// refresh declares which servers of a model this router owns and reaches.
+func (o *Owner) refresh(model amaranthtide.ModelName) {
+	if model == "" {
+		return
+	}
+	var servers []amaranthtide.BackendServerName
+	groups := amaranthtide.NewSet[amaranthtide.GroupName]()
+	o.gates.Range(func(name amaranthtide.BackendServerName, s *station) bool {
+		if s.model == model && s.up {
+			servers = append(servers, name)
+			groups.Add(s.group)
+		}
+		return true
+	})
+	o.opts.Ledger.SetOwnGroups(model, groups)
+	o.opts.Ledger.SetServers(model, servers)
+}
+
+func (o *Owner) notifyChanged() {
+	select {
+	case o.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Changed gets a value when the load of a group may have changed.
+func (o *Owner) Changed() <-chan struct{} { return o.changed }
+
+// GroupLoads returns the loads of the groups of engines that this router owns.
+func (o *Owner) GroupLoads(now time.Time) []amaranthtide.GroupLoad {
+	groups := make(map[amaranthtide.GroupName]*amaranthtide.GroupLoad)
+	o.gates.Range(func(_ amaranthtide.BackendServerName, s *station) bool {
+		if s.model == "" || !s.up {
+			return true
+		}
+		g, ok := groups[s.group]
+		if !ok {
+			g = &amaranthtide.GroupLoad{Group: s.group, Model: s.model}
+			groups[s.group] = g
+		}
+		l := s.gate.Load(now)
+		g.Servers++
+		g.InFlight += l.InFlight
+		g.Waiting += l.Waiting
+		g.CompletionsPerSecond += l.CompletionsPerSecond
+		return true
+	})
+	loads := make([]amaranthtide.GroupLoad, 0, len(groups))
+	for _, g := range groups {
+		loads = append(loads, *g)
+	}
+	return loads
+}
+
 func (o *Owner) limits(now time.Time, s *station, v load.View, model amaranthtide.Model, settled bool) admission.Limits {
 	if o.opts.Unbounded {
 		return admission.Limits{Settled: true}
@@ -182,6 +276,7 @@
 	s := &station{
 		gate:    admission.New(now, cfg),
 		model:   row.Model,
+		group:   placement.Group(server, row, len(o.opts.Table.ServersOfModel(row.Model, row.Zone))),
 		config:  cfg,
 		waiting: make(map[amaranthtide.AttemptID]chan grant),
 	}
--- a/transport/owner/send.go
+++ b/transport/owner/send.go
@@ -52,7 +52,7 @@
 		s.gate.Finish(now, req.Attempt, outcome)
 		switch amaranthtide.KindOf(err) {
 		case amaranthtide.KindNoBackend:
-			s.gate.SetDown(true)
+			s.setDown(true)
 			s.downUntil = now.Add(downHold)
 		case amaranthtide.KindLeaving:
 			s.refusedUntil = now.Add(leavingHold)
@@ -64,6 +64,12 @@
 	o.notify()
 }
 
+// setDown notes whether the server is out of reach.
+func (s *station) setDown(down bool) {
+	s.down = down
+	s.gate.SetDown(down)
+}
+
 // countingWriter counts the events of a stream, each of which is about a token,
 // and names the server in the head.
 type countingWriter struct {
--- a/transport/router/close.go
+++ b/transport/router/close.go
@@ -60,6 +60,9 @@
 	if r.prober != nil {
 		r.prober.Close()
 	}
+	if r.groups != nil {
+		r.groups.Close()
+	}
 	if r.spread != nil {
 		r.spread.Close()
 	}
--- a/transport/router/loop.go
+++ b/transport/router/loop.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"amaranthtide"
-	"amaranthtide/state/table"
 )
 
 // loopTable passes changes of the table on to the parts that hold what they derive
@@ -24,26 +21,6 @@
 
 func (r *Router) tableChanged(now time.Time) {
 	r.control.TableChanged(now)
-	for model, servers := range inService(r.table, r.cfg.Router.Zone) {
-		r.ledger.SetServers(model, servers)
-	}
-}
-
-// inService returns the servers of each model that count in its mean: those of this
-// zone. The mean of one zone is known exactly by the owner of the model's group.
-func inService(t *table.Table, zone amaranthtide.ZoneName) map[amaranthtide.ModelName][]amaranthtide.BackendServerName {
-	servers := make(map[amaranthtide.ModelName][]amaranthtide.BackendServerName)
-	for _, name := range t.Models() {
-		servers[name] = nil
-	}
-	for _, row := range t.Rows(amaranthtide.RowBackendServer) {
-		s, ok := row.Value.(amaranthtide.BackendServer)
-		if !ok || s.Leaving || s.Zone != zone {
-			continue
-		}
-		servers[s.Model] = append(servers[s.Model], amaranthtide.BackendServerName(row.Key.Name))
-	}
-	return servers
 }
 
 // loopVMs reads the platform's list of VMs.
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -33,6 +33,7 @@
 	"amaranthtide/transport/editor"
 	"amaranthtide/transport/engine"
 	"amaranthtide/transport/entry"
+	"amaranthtide/transport/groups"
 	"amaranthtide/transport/mesh"
 	"amaranthtide/transport/metrics"
 	"amaranthtide/transport/owner"
@@ -84,6 +85,7 @@
 	dispatch *dispatch.Dispatcher
 	editor   *editor.Editor
 	prober   *probe.Prober
+	groups   *groups.Exchange
 	meter    *metrics.Meter
 
 	callers  *http.Server
@@ -166,11 +168,12 @@
 	if err != nil {
 		return err
 	}
+	incarnation := amaranthtide.Incarnation(time.Now().UnixNano())
 	r.control = control.New(control.Options{
 		VM:             cfg.Router.VM,
 		Zone:           cfg.Router.Zone,
 		Address:        r.mesh.Addr(),
-		Incarnation:    amaranthtide.Incarnation(time.Now().UnixNano()),
+		Incarnation:    incarnation,
 		Seeds:          cfg.Router.Seeds,
 		BytesPerSecond: cfg.Control.BytesPerSecond,
 		DigestInterval: cfg.Control.DigestInterval,
@@ -217,6 +220,16 @@
 		Policy:    r.opts.Policy,
 		Logger:    logger.Named("dispatch"),
 	})
+	r.groups = groups.New(groups.Options{
+		VM:          cfg.Router.VM,
+		Incarnation: incarnation,
+		Mesh:        r.mesh,
+		Table:       r.table,
+		Ledger:      r.ledger,
+		Control:     r.control,
+		Owner:       r.owner,
+		Logger:      logger.Named("groups"),
+	})
 	r.editor = editor.New(editor.Options{Table: r.platform, Spread: r.spread})
 	r.prober = probe.New(probe.Options{Table: r.table, Owner: r.owner, Engines: r.engines, Interval: cfg.Control.ProbeInterval})
 	return nil
@@ -229,6 +242,9 @@
 	if err := r.spread.Start(); err != nil {
 		return err
 	}
+	if err := r.groups.Start(); err != nil {
+		return err
+	}
 	r.wg.Go(r.loopTable)
 	r.wg.Go(r.loopVMs)
 	if err := r.gauges(); err != nil {
