standin/caller, standin/observer: load tool with checked answers

Cause: the promises are judged by callers and stand-ins, not by the routers' own counts. Change: caller.Load drives chats, captions and keyed calls and gives each request one of six outcomes; observer.Observer judges skew, work at engines out of service, requests that were refused as not run but ran, and cache reuse, from hooks of the engine stand-in (OnRun, OnLoad and CachedTokens are new). Conclusion: each oracle is shown to fail on a bad answer by a fake router.

--- /dev/null
+++ b/standin/caller/answer.go
@@ -0,0 +1,211 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/protocol/reply"
+)
+
+// outcome is what became of one try.
+type outcome uint8
+
+const (
+	unknown outcome = iota
+	answered
+	refused
+	failed
+	wrong
+	truncated
+	outcomes
+)
+
+const maxAnswer = 16 << 20
+
+// answer is one answer as a caller sees it.
+type answer struct {
+	outcome outcome
+	// kind is the name of the error kind that a router gave; empty if it gave none.
+	kind string
+	// first is when the first text arrived; zero if none did.
+	first        time.Time
+	retryAfter   time.Duration
+	promptTokens int
+	cachedTokens int
+}
+
+// chunk holds the parts of chat.completion and chat.completion.chunk objects that
+// are checked.
+type chunk struct {
+	Choices []struct {
+		Delta   struct{ Content string } `json:"delta"`
+		Message struct{ Content string } `json:"message"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens int `json:"prompt_tokens"`
+		Details      struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// readStream reads an event stream to its end.
+func readStream(body io.Reader, want string) answer {
+	var a answer
+	var text strings.Builder
+	r := bufio.NewReaderSize(body, 4<<10)
+	done, isError := false, false
+	for {
+		line, err := r.ReadSlice('\n')
+		switch {
+		case errors.Is(err, io.EOF) && len(line) == 0:
+			if a.kind != "" {
+				return a.errorAfter(text.String(), want)
+			}
+			// A stream whose HTTP answer is complete looks whole to its caller, with or
+			// without the terminal event.
+			a.outcome = compare(text.String(), want)
+			if a.outcome == answered && !done {
+				a.outcome = truncated
+			}
+			return a
+		case err != nil && !errors.Is(err, io.EOF):
+			if done {
+				a.outcome = compare(text.String(), want)
+			}
+			return a.orWrong(text.String(), want)
+		}
+		line = bytes.TrimSpace(line)
+		if name, ok := bytes.CutPrefix(line, []byte("event:")); ok {
+			isError = string(bytes.TrimSpace(name)) == "error"
+			continue
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data:"))
+		data = bytes.TrimSpace(data)
+		switch {
+		case len(line) == 0:
+			isError = false
+		case !ok:
+		case isError:
+			a.outcome, a.kind, a.retryAfter = refusal(data)
+		case string(data) == "[DONE]":
+			done = true
+		default:
+			a.take(data, &text)
+		}
+	}
+}
+
+// take adds the text and usage of one object.
+func (a *answer) take(data []byte, text *strings.Builder) {
+	var c chunk
+	if json.Unmarshal(data, &c) != nil {
+		// Text that is not the answer makes the comparison fail.
+		text.Write(data)
+		return
+	}
+	for _, choice := range c.Choices {
+		if a.first.IsZero() && choice.Delta.Content+choice.Message.Content != "" {
+			a.first = time.Now()
+		}
+		text.WriteString(choice.Delta.Content)
+		text.WriteString(choice.Message.Content)
+	}
+	if c.Usage != nil {
+		a.promptTokens, a.cachedTokens = c.Usage.PromptTokens, c.Usage.Details.CachedTokens
+	}
+}
+
+// errorAfter is an answer that ended with an error event. A refusal after text was
+// shown is a failure: the request surely ran.
+func (a answer) errorAfter(text, want string) answer {
+	if a.outcome == refused && text != "" {
+		a.outcome = failed
+	}
+	return a.orWrong(text, want)
+}
+
+// orWrong is for an incomplete answer: what was shown must be its beginning.
+func (a answer) orWrong(text, want string) answer {
+	if !strings.HasPrefix(want, text) {
+		a.outcome = wrong
+	}
+	return a
+}
+
+func compare(text, want string) outcome {
+	switch {
+	case text == want:
+		return answered
+	case strings.HasPrefix(want, text):
+		return truncated
+	default:
+		return wrong
+	}
+}
+
+// readWhole reads a chat completion that is not streamed.
+func readWhole(body io.Reader, want string) answer {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswer))
+	if err != nil {
+		return answer{}
+	}
+	var a answer
+	var text strings.Builder
+	if !json.Valid(data) {
+		// A body whose end is missing begins like a JSON object.
+		a.outcome = truncated
+		if len(data) > 0 && data[0] != '{' {
+			a.outcome = wrong
+		}
+		return a
+	}
+	a.take(data, &text)
+	a.outcome = compare(text.String(), want)
+	return a
+}
+
+// readPlain reads the answer of a plain service.
+func readPlain(body io.Reader, want string) answer {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswer))
+	if err != nil {
+		return answer{}
+	}
+	return answer{outcome: compare(string(data), want), first: time.Now()}
+}
+
+// readError reads an answer whose status is not 200.
+func readError(resp *http.Response) answer {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return answer{}
+	}
+	var a answer
+	a.outcome, a.kind, a.retryAfter = refusal(data)
+	return a
+}
+
+// refusal reads the JSON form of an error. An error that does not tell whether the
+// request ran leaves that unknown.
+func refusal(data []byte) (outcome, string, time.Duration) {
+	var b reply.Body
+	if json.Unmarshal(data, &b) != nil || b.Error.Kind == "" {
+		return unknown, "unreadable", 0
+	}
+	wait := time.Duration(b.Error.RetryAfterMillis) * time.Millisecond
+	switch b.Error.Ran {
+	case amaranthtide.RanNo.String():
+		return refused, b.Error.Kind, wait
+	case amaranthtide.RanYes.String():
+		return failed, b.Error.Kind, wait
+	default:
+		return unknown, b.Error.Kind, wait
+	}
+}
--- /dev/null
+++ b/standin/caller/balancer.go
@@ -0,0 +1,61 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// skipTime is how long a router that refused a connection is not picked.
+const skipTime = time.Second
+
+// balancer picks routers. It is concurrent-safe.
+type balancer struct {
+	random bool
+
+	mu      sync.Mutex
+	addrs   []netip.AddrPort
+	next    int
+	skipped map[netip.AddrPort]time.Time
+}
+
+func (b *balancer) set(addrs []netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addrs = append([]netip.AddrPort(nil), addrs...)
+	b.skipped = make(map[netip.AddrPort]time.Time)
+}
+
+// pick returns a router that did not refuse lately, or any if all did.
+func (b *balancer) pick(now time.Time) netip.AddrPort {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.addrs) == 0 {
+		return netip.AddrPort{}
+	}
+	if b.random {
+		b.next = rand.IntN(len(b.addrs))
+	}
+	for range b.addrs {
+		a := b.addrs[b.next%len(b.addrs)]
+		b.next++
+		if !now.Before(b.skipped[a]) {
+			return a
+		}
+	}
+	b.next++
+	return b.addrs[b.next%len(b.addrs)]
+}
+
+func (b *balancer) refused(now time.Time, a netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.skipped[a] = now.Add(skipTime)
+}
+
+func (b *balancer) size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.addrs)
+}
--- /dev/null
+++ b/standin/caller/chat.go
@@ -0,0 +1,139 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthtide"
+	"amaranthtide/standin/engine"
+)
+
+const (
+	completionsPath = "/v1/chat/completions"
+
+	minTurns, maxTurns = 3, 8
+	longTurnShare      = 0.1
+	longTurnFactor     = 3
+	minWords, maxWords = 40, 160
+	captionWords       = 20
+	captionOutput      = 8
+)
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatBody struct {
+	Model     amaranthtide.ModelName `json:"model"`
+	Stream    bool                   `json:"stream"`
+	MaxTokens int                    `json:"max_tokens"`
+	Messages  []message              `json:"messages"`
+	// Metadata makes each body unique, so that engines can tell which request they ran.
+	Metadata map[string]string `json:"metadata"`
+}
+
+// runAppraiser holds one chat after the other.
+func (k *worker) runAppraiser(begin context.Context) {
+	for {
+		chat := "chat-" + k.nonce()
+		messages := []message{{"system", "Appraisals of " + string(k.workspace) + " in " + chat + ". " + k.words(maxWords)}}
+		last := uint64(0)
+		for range minTurns + k.random.IntN(maxTurns-minTurns+1) {
+			if !k.pause(begin, k.load.cfg.Pause) {
+				return
+			}
+			messages = append(messages, message{"user", k.words(minWords + k.random.IntN(maxWords-minWords))})
+			text, hash, ok := k.turn(chat, messages, last)
+			if !ok {
+				// The user asks again with other words after the pause.
+				messages = messages[:len(messages)-1]
+				continue
+			}
+			last = hash
+			messages = append(messages, message{"assistant", text})
+		}
+	}
+}
+
+// turn sends one streamed request of a chat. It returns the answer's text and the
+// hash of the body.
+func (k *worker) turn(chat string, messages []message, last uint64) (string, uint64, bool) {
+	cfg := &k.load.cfg
+	output := cfg.MinOutput + k.random.IntN(cfg.MaxOutput-cfg.MinOutput+1)
+	if k.random.Float64() < longTurnShare {
+		output = longTurnFactor * cfg.MaxOutput
+	}
+	body, want, ok := k.body(chatBody{Stream: true, MaxTokens: output, Messages: messages})
+	if !ok {
+		return "", 0, false
+	}
+	header := http.Header{"Content-Type": {"application/json"}, headerChat: {chat}}
+	var r reuse
+	begun := time.Now()
+	if cfg.Observer != nil && last != 0 {
+		if possible, held := cfg.Observer.Returning(begun, last, body); possible {
+			for _, m := range messages[:len(messages)-1] {
+				r.possible += engine.MessageTokens(m.Content)
+			}
+			r.held = min(held, r.possible)
+		}
+	}
+	a := k.try(http.MethodPost, completionsPath, header, body, func(resp *http.Response) answer {
+		return readStream(resp.Body, want)
+	})
+	if a.outcome != answered {
+		r = reuse{}
+	} else if r.possible > 0 {
+		r.cached = min(a.cachedTokens, r.possible)
+	}
+	k.finish(string(amaranthtide.ClassStandard), begun, a, body, r)
+	return want, xxhash.Sum64(body), a.outcome == answered
+}
+
+// runCaptioner sends short requests of class quick.
+func (k *worker) runCaptioner(begin context.Context) {
+	for k.pause(begin, k.load.cfg.Pause) {
+		messages := []message{{"user", "Caption. " + k.words(captionWords)}}
+		body, want, ok := k.body(chatBody{MaxTokens: captionOutput, Messages: messages})
+		if !ok {
+			return
+		}
+		class := string(amaranthtide.ClassQuick)
+		header := http.Header{
+			"Content-Type": {"application/json"}, headerClass: {class}, headerChat: {"caption-" + k.nonce()},
+		}
+		begun := time.Now()
+		a := k.try(http.MethodPost, completionsPath, header, body, func(resp *http.Response) answer {
+			return readWhole(resp.Body, want)
+		})
+		k.finish(class, begun, a, body, reuse{})
+	}
+}
+
+// body returns a request body and the text that engines answer to it.
+func (k *worker) body(b chatBody) ([]byte, string, bool) {
+	b.Model, b.Metadata = k.load.cfg.Model, map[string]string{"request": k.nonce()}
+	body, err := json.Marshal(b)
+	if err != nil {
+		return nil, "", false
+	}
+	want, err := engine.Answer(body)
+	return body, want, err == nil
+}
+
+var vocabulary = strings.Fields("club fee entry heat lane relay medley split start turn wall final coach badge meet rank time swim pool award")
+
+func (k *worker) words(n int) string {
+	var b strings.Builder
+	for range n {
+		b.WriteString(vocabulary[k.random.IntN(len(vocabulary))])
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
--- /dev/null
+++ b/standin/caller/load.go
@@ -0,0 +1,185 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthtide"
+)
+
+const (
+	headerChat    = "Amaranthtide-Chat"
+	headerClass   = "Amaranthtide-Class"
+	headerTimeout = "Amaranthtide-Timeout-Millis"
+	headerKey     = "Idempotency-Key"
+
+	// bufferSize keeps thousands of connections small.
+	bufferSize = 4 << 10
+	// timeoutMargin is the time for an error to arrive after the deadline that the
+	// router was told.
+	timeoutMargin = 2 * time.Second
+	// settleTime lets attempts that are under way at the end reach the stand-ins
+	// before the judgement.
+	settleTime = 300 * time.Millisecond
+)
+
+// Load drives callers. Use New.
+type Load struct {
+	cfg       Config
+	transport *http.Transport
+	balancer  *balancer
+	stats     *stats
+	small     amaranthtide.Set[amaranthtide.WorkspaceName]
+	begun     atomic.Int64
+	wg        sync.WaitGroup
+}
+
+// New returns a Load. It sends nothing before Run.
+func New(cfg Config) *Load {
+	cfg = cfg.withDefaults()
+	l := &Load{cfg: cfg, balancer: &balancer{random: cfg.Random}, small: amaranthtide.NewSet[amaranthtide.WorkspaceName]()}
+	l.balancer.set(cfg.Routers)
+	for _, w := range cfg.Workspaces {
+		if w.Small {
+			l.small.Add(w.Name)
+		}
+	}
+	l.transport = &http.Transport{
+		DialContext:         l.dial,
+		DisableCompression:  true,
+		ReadBufferSize:      bufferSize,
+		WriteBufferSize:     bufferSize,
+		MaxIdleConnsPerHost: 1024,
+		IdleConnTimeout:     time.Minute,
+	}
+	return l
+}
+
+// SetRouters replaces the addresses of the routers, also during a run.
+func (l *Load) SetRouters(addrs []netip.AddrPort) { l.balancer.set(addrs) }
+
+// Run begins requests for Config.Duration, or until ctx is canceled, waits for
+// their ends and returns what they showed. It may be called once.
+func (l *Load) Run(ctx context.Context) Result {
+	l.stats = newStats()
+	defer l.transport.CloseIdleConnections()
+	begin, cancel := context.WithTimeout(ctx, l.cfg.Duration)
+	defer cancel()
+	n := uint64(0)
+	start := func(w Workspace, count int, run func(*worker, context.Context)) {
+		for range count {
+			n++
+			k := &worker{load: l, workspace: w.Name, number: n, random: rand.New(rand.NewPCG(l.cfg.Seed, n))}
+			l.wg.Add(1)
+			go func() {
+				defer l.wg.Done()
+				run(k, begin)
+			}()
+		}
+	}
+	for _, w := range l.cfg.Workspaces {
+		start(w, w.Appraisers, (*worker).runAppraiser)
+		start(w, w.Captioners, (*worker).runCaptioner)
+		start(w, w.Cashiers, (*worker).runCashier)
+	}
+	l.wg.Wait()
+	time.Sleep(settleTime)
+	return l.result()
+}
+
+func (l *Load) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	if l.cfg.Dial != nil {
+		return l.cfg.Dial(ctx, addr)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// worker is one caller.
+type worker struct {
+	load      *Load
+	workspace amaranthtide.WorkspaceName
+	number    uint64
+	random    *rand.Rand
+	requests  int
+}
+
+// pause waits for the mean pause, give or take half, and reports whether another
+// request may begin.
+func (k *worker) pause(begin context.Context, mean time.Duration) bool {
+	t := time.NewTimer(time.Duration((0.5 + k.random.Float64()) * float64(mean)))
+	defer t.Stop()
+	select {
+	case <-begin.Done():
+		return false
+	case <-t.C:
+		return k.load.begun.Add(1) <= int64(k.load.cfg.MaxRequests)
+	}
+}
+
+// nonce returns a text that no other request of the run has.
+func (k *worker) nonce() string {
+	k.requests++
+	return fmt.Sprintf("%d-%d-%d", k.load.cfg.Seed, k.number, k.requests)
+}
+
+// try sends one HTTP request and reads its answer. Requests to routers that refuse
+// the connection were not sent and go to the next router.
+func (k *worker) try(method, path string, header http.Header, body []byte, read func(*http.Response) answer) answer {
+	l := k.load
+	ctx, cancel := context.WithTimeout(context.Background(), l.cfg.Timeout+timeoutMargin)
+	defer cancel()
+	header.Set("Authorization", "Bearer "+string(k.workspace))
+	header.Set(headerTimeout, strconv.FormatInt(l.cfg.Timeout.Milliseconds(), 10))
+	a := answer{outcome: refused, kind: "noRouter"}
+	for range l.balancer.size() {
+		addr := l.balancer.pick(time.Now())
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewReader(body))
+		if err != nil {
+			return answer{kind: err.Error()}
+		}
+		req.Header = header
+		resp, err := l.transport.RoundTrip(req)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.balancer.refused(time.Now(), addr)
+			continue
+		}
+		if err != nil {
+			a = answer{}
+			break
+		}
+		if resp.StatusCode == http.StatusOK {
+			a = read(resp)
+		} else {
+			a = readError(resp)
+		}
+		_ = resp.Body.Close()
+		break
+	}
+	l.stats.tried(a)
+	return a
+}
+
+func (k *worker) finish(class string, begun time.Time, a answer, body []byte, r reuse) {
+	k.load.stats.add(record{
+		workspace: k.workspace, class: class, begun: begun, ended: time.Now(),
+		answer: a, body: xxhash.Sum64(body), reuse: r,
+	})
+}
--- /dev/null
+++ b/standin/caller/load_test.go
@@ -0,0 +1,189 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/protocol/reply"
+	"amaranthtide/standin/application"
+	"amaranthtide/standin/caller"
+	"amaranthtide/standin/engine"
+	"amaranthtide/standin/observer"
+)
+
+// fake is a router that answers by itself. spoil changes the whole body of its
+// right answer.
+type fake struct {
+	spoil   func(body string) string
+	mu      sync.Mutex
+	effects map[amaranthtide.IdempotencyKey]int
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if path, ok := strings.CutPrefix(r.URL.Path, "/services/register"); ok {
+		f.mu.Lock()
+		f.effects[amaranthtide.IdempotencyKey(r.Header.Get("Idempotency-Key"))]++
+		f.mu.Unlock()
+		_, _ = io.WriteString(w, f.spoil(application.Answer(r.Method, path, "", body)))
+		return
+	}
+	text, _ := engine.Answer(body)
+	quoted, _ := json.Marshal(text)
+	if strings.Contains(string(body), `"stream":true`) {
+		_, _ = io.WriteString(w, f.spoil(`data: {"choices":[{"delta":{"content":`+string(quoted)+"}}]}\n\ndata: [DONE]\n\n"))
+		return
+	}
+	_, _ = io.WriteString(w, f.spoil(`{"choices":[{"message":{"content":`+string(quoted)+`}}]}`))
+}
+
+func run(t *testing.T, h http.Handler, cfg caller.Config) caller.Result {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	refusing := httptest.NewServer(nil)
+	refusing.Close()
+	for _, s := range []*httptest.Server{refusing, s} {
+		cfg.Routers = append(cfg.Routers, netip.MustParseAddrPort(s.Listener.Addr().String()))
+	}
+	cfg.Model, cfg.Route, cfg.Seed = "m", "register", 1
+	cfg.Duration, cfg.Pause, cfg.MaxRequests = 5*time.Second, time.Millisecond, 12
+	return caller.New(cfg).Run(context.Background())
+}
+
+var (
+	appraiser = []caller.Workspace{{Name: "w", Appraisers: 2}}
+	captioner = []caller.Workspace{{Name: "w", Captioners: 2}}
+	cashier   = []caller.Workspace{{Name: "w", Cashiers: 6}}
+)
+
+// Guards against checks that can't fail: each kind of bad answer must be counted,
+// and nothing else.
+func TestOutcomes(t *testing.T) {
+	replace := func(old, by string) func(string) string {
+		return func(s string) string { return strings.Replace(s, old, by, 1) }
+	}
+	event := func(kind amaranthtide.Kind) func(string) string {
+		return func(s string) string {
+			return s[:strings.Index(s, "data: [DONE]")] + string(reply.New(amaranthtide.Errorf(kind, "x")).Event())
+		}
+	}
+	var mu sync.Mutex
+	earlier := map[string]string{}
+	crossed := func(s string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		got, ok := earlier["answer"]
+		earlier["answer"] = s
+		if !ok {
+			return "x" + s
+		}
+		return got
+	}
+	whole := func(s string) string { return s }
+	tests := []struct {
+		name       string
+		workspaces []caller.Workspace
+		spoil      func(string) string
+		count      func(caller.Result) int
+	}{
+		{"whole stream", appraiser, whole, func(r caller.Result) int { return r.Answered }},
+		{"whole caption", captioner, whole, func(r caller.Result) int { return r.Answered }},
+		{"whole call", cashier, whole, func(r caller.Result) int { return r.Answered }},
+		{"stream with a wrong word", appraiser, replace(`"content":"`, `"content":"zzzzzz `), func(r caller.Result) int { return r.WrongAnswers }},
+		{"caption of another request", captioner, crossed, func(r caller.Result) int { return r.WrongAnswers }},
+		{"call with a wrong word", cashier, replace("POST", "GET"), func(r caller.Result) int { return r.WrongAnswers }},
+		{"doubled stream", appraiser, func(s string) string { return s + s }, func(r caller.Result) int { return r.WrongAnswers }},
+		{"stream without its last word", appraiser, func(s string) string {
+			end := strings.Index(s, ` "}}]}`)
+			return s[:strings.LastIndexByte(s[:end], ' ')+1] + s[end+1:]
+		}, func(r caller.Result) int { return r.TruncatedAnswers }},
+		{"stream without its end", appraiser, replace("data: [DONE]\n\n", ""), func(r caller.Result) int { return r.TruncatedAnswers }},
+		{"caption cut in the middle", captioner, func(s string) string { return s[:len(s)/2] }, func(r caller.Result) int { return r.TruncatedAnswers }},
+		{"call cut in the middle", cashier, func(s string) string { return s[:len(s)/2] }, func(r caller.Result) int { return r.TruncatedAnswers }},
+		{"stream with a failure", appraiser, event(amaranthtide.KindBackendFailed), func(r caller.Result) int { return r.Failed }},
+		{"stream refused after text", appraiser, event(amaranthtide.KindFull), func(r caller.Result) int { return r.Failed }},
+		{"stream of unknown outcome", appraiser, event(amaranthtide.KindInternal), func(r caller.Result) int { return r.UnknownOutcome }},
+		{"broken connection", captioner, func(string) string { panic(http.ErrAbortHandler) }, func(r caller.Result) int { return r.UnknownOutcome }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fake{spoil: tt.spoil, effects: map[amaranthtide.IdempotencyKey]int{}}
+			r := run(t, f, caller.Config{Workspaces: tt.workspaces})
+			t.Logf("%+v", r)
+			is.Equal(r.Requests, 12)
+			is.Equal(tt.count(r), 12)
+		})
+	}
+}
+
+// Guards against a payment that ran twice, or not at all, and goes unseen.
+func TestEffects(t *testing.T) {
+	tests := []struct {
+		name  string
+		ran   int
+		count func(caller.Result) int
+	}{
+		{"double run", 2, func(r caller.Result) int { return r.DoubleRuns }},
+		{"answered without effect", 0, func(r caller.Result) int { return r.AnsweredNotRun }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fake{spoil: func(s string) string { return s }, effects: map[amaranthtide.IdempotencyKey]int{}}
+			r := run(t, f, caller.Config{Workspaces: cashier, Effects: func() map[amaranthtide.IdempotencyKey]int {
+				for key := range f.effects {
+					f.effects[key] = tt.ran
+					break
+				}
+				return f.effects
+			}})
+			is.Equal(tt.count(r), 1)
+			is.True(!r.Kept())
+		})
+	}
+}
+
+// Guards against a refusal "not run" whose request an engine or a service ran.
+func TestRefusedButRan(t *testing.T) {
+	is := is.New(t)
+	o := observer.New()
+	e, err := engine.New(o.Watch("e", engine.Config{}))
+	is.NoErr(err)
+	defer e.Close()
+	refuse := func(w http.ResponseWriter) {
+		err := amaranthtide.WithRetryAfter(amaranthtide.Errorf(amaranthtide.KindFull, "full"), time.Millisecond)
+		w.WriteHeader(reply.Status(err))
+		_, _ = w.Write(reply.New(err).JSON())
+	}
+	r := run(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		resp, err := http.Post("http://"+e.Addr().String()+r.URL.Path, "application/json", r.Body)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		refuse(w)
+	}), caller.Config{Workspaces: captioner, Observer: o})
+	is.Equal(r.RefusedNotRun, 12)
+	is.Equal(r.RefusedButRan, 12)
+
+	f := &fake{spoil: func(s string) string { return s }, effects: map[amaranthtide.IdempotencyKey]int{}}
+	r = run(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.ServeHTTP(httptest.NewRecorder(), r)
+		refuse(w)
+	}), caller.Config{Workspaces: cashier, Effects: func() map[amaranthtide.IdempotencyKey]int { return f.effects }})
+	is.Equal(r.RefusedNotRun, 12)
+	is.Equal(r.RefusedButRan, 12)
+	is.Equal(r.DoubleRuns, 12*5) // six tries of each key ran
+}
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -31,6 +31,9 @@
 	return &prefixCache{limit: limit, links: links, seen: make(map[uint64]struct{})}
 }
 
+// MessageTokens returns the prompt tokens that a message of the given text counts.
+func MessageTokens(text string) int { return 1 + len(text)/bytesPerToken }
+
 // nextLink returns the link of a message that follows prev.
 func nextLink(prev uint64, m completion.Message) link {
 	var d xxhash.Digest
@@ -38,7 +41,7 @@
 	_, _ = d.WriteString(m.Role)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(m.Text)
-	return link{d.Sum64(), 1 + len(m.Text)/bytesPerToken}
+	return link{d.Sum64(), MessageTokens(m.Text)}
 }
 
 func chain(model string, messages []completion.Message) []link {
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -61,6 +61,12 @@
 	// OnAdmit is called with the time and the load after each admission, and must be
 	// short: it runs under the engine's lock. It may be nil.
 	OnAdmit func(now time.Time, load int)
+	// OnRun is called right before OnAdmit, with the boot and the xxHash64 value of the
+	// admitted request's body. It may be nil.
+	OnRun func(boot amaranthtide.BootID, body uint64)
+	// OnLoad is called with the load after each change of it and after each boot, before
+	// OnRun and OnAdmit. It must be short like OnAdmit and may be nil.
+	OnLoad func(load int)
 }
 
 // Faults spoil answers.
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -142,6 +142,9 @@
 	load := s.batch.load()
 	s.counters.GreatestLoad = max(s.counters.GreatestLoad, load)
 	s.record(now)
+	if s.cfg.OnRun != nil {
+		s.cfg.OnRun(s.boot, rn.events.seed)
+	}
 	if s.cfg.OnAdmit != nil {
 		s.cfg.OnAdmit(now, load)
 	}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/protocol/completion"
 	"amaranthtide/standin/internal/host"
 )
 
@@ -173,6 +174,9 @@
 	s.history.add(point{now, s.booted, amaranthtide.EngineReport{
 		Boot: s.boot, InFlight: s.batch.load(), Capacity: s.cfg.Capacity, Leaving: s.leaving,
 	}})
+	if s.cfg.OnLoad != nil {
+		s.cfg.OnLoad(s.batch.load())
+	}
 }
 
 // bears returns the load that the engine bears now without falling over, and
@@ -289,6 +293,20 @@
 	return s.counters
 }
 
+// CachedTokens returns the number of prompt tokens of a request body that the cache
+// holds now.
+func (s *Server) CachedTokens(body []byte) int {
+	req, err := completion.Parse(body)
+	if err != nil {
+		return 0
+	}
+	links := chain(string(req.Model), req.Messages)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cached, _ := s.batch.cache.lookup(links)
+	return cached
+}
+
 // Faults returns the present faults.
 func (s *Server) Faults() Faults {
 	s.mu.Lock()
--- /dev/null
+++ b/standin/observer/observer.go
@@ -0,0 +1,256 @@
+// Package observer watches the engine stand-ins of one deployment and judges what
+// the routers did with them: the skew of the loads, work that reached an engine out
+// of service, and which engine ran which request. It knows nothing from the routers.
+//
+// # Usage
+//
+//	o := observer.New()
+//	e, err := engine.New(o.Watch("engine-1", engine.Config{Model: "m"}))
+//	o.Attach("engine-1", e)
+//	o.Enter(time.Now(), "engine-1") // counts in the mean
+//	...
+//	fmt.Println(o.Skew(), o.Ran(xxhash.Sum64(body)))
+//
+// # Skew
+//
+// After each admission at an engine in service, the mean is taken over the engines
+// in service of the same model, that admission included. The cap is
+// max(floor(1.25*mean), ceil(mean)), since whole requests can't follow a mean below
+// 1 or between whole numbers more closely. The skew is the load over
+// max(mean, cap/1.25), so that a load at the cap has a skew of at most 1.25; the
+// plain skew is the load over the mean.
+//
+// An engine that enters service counts in the mean from its first admission, at the
+// latest after EnterDelay: until then routers can't be required to know of it.
+package observer
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"amaranthtide"
+	"amaranthtide/standin/engine"
+)
+
+const (
+	// EnterDelay is the time in which an accepted change is in force at all routers.
+	EnterDelay = 4 * time.Second
+	// OutDelay is the time after which a server out of service gets no new work.
+	OutDelay = 3 * time.Second
+
+	// skewUnit makes whole numbers of ratios for the histogram.
+	skewUnit      = 1000
+	maxSkewUnits  = 100 * skewUnit
+	skewPrecision = 3
+)
+
+// Observer watches engines. It is concurrent-safe. Its lock is taken inside those of
+// the engines, so that it calls no engine while it holds it.
+type Observer struct {
+	mu      sync.Mutex
+	servers map[amaranthtide.BackendServerName]*server
+	runs    map[uint64]run
+	skew    Skew
+	ratios  *hdrhistogram.Histogram
+	started time.Time
+	series  []float64
+	late    int
+}
+
+type server struct {
+	engine *engine.Server
+	model  amaranthtide.ModelName
+	// capacity is the number of requests that run at once.
+	capacity, load int
+	inService      bool
+	// joining is set from Enter to the first admission. counted is when the server
+	// counts at the latest, out when it left service.
+	joining      bool
+	counted, out time.Time
+}
+
+// run is the last run of one request body.
+type run struct {
+	server amaranthtide.BackendServerName
+	boot   amaranthtide.BootID
+	times  int
+}
+
+// Skew is the judgement of all admissions at engines in service.
+type Skew struct {
+	// Max and P99 are of the skew, Plain is the greatest plain skew.
+	Max   float64 `json:"max"`
+	P99   float64 `json:"p99"`
+	Plain float64 `json:"plain"`
+	// MaxLoad and MaxMean are the load and the mean at Max.
+	MaxLoad    int     `json:"maxLoad"`
+	MaxMean    float64 `json:"maxMean"`
+	Admissions int     `json:"admissions"`
+	// LateAdmissions are those at engines out of service for more than OutDelay.
+	LateAdmissions int `json:"lateAdmissions"`
+}
+
+// New returns an Observer without engines.
+func New() *Observer {
+	return &Observer{
+		servers: make(map[amaranthtide.BackendServerName]*server),
+		runs:    make(map[uint64]run),
+		ratios:  hdrhistogram.New(1, maxSkewUnits, skewPrecision),
+		started: time.Now(),
+	}
+}
+
+// Watch returns cfg with hooks that report to o. The engine is out of service.
+func (o *Observer) Watch(name amaranthtide.BackendServerName, cfg engine.Config) engine.Config {
+	s := &server{model: cfg.Model, capacity: cfg.Capacity, out: time.Now()}
+	if s.capacity == 0 {
+		s.capacity = engine.DefaultCapacity
+	}
+	o.mu.Lock()
+	o.servers[name] = s
+	o.mu.Unlock()
+	cfg.OnLoad = func(load int) {
+		o.mu.Lock()
+		s.load = load
+		o.mu.Unlock()
+	}
+	cfg.OnRun = func(boot amaranthtide.BootID, body uint64) {
+		o.mu.Lock()
+		o.runs[body] = run{name, boot, o.runs[body].times + 1}
+		o.mu.Unlock()
+	}
+	cfg.OnAdmit = func(now time.Time, load int) {
+		o.mu.Lock()
+		o.admitted(now, s, load)
+		o.mu.Unlock()
+	}
+	return cfg
+}
+
+// Attach names the engine that runs with the configuration of Watch.
+func (o *Observer) Attach(name amaranthtide.BackendServerName, e *engine.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.servers[name].engine = e
+}
+
+// Enter puts engines into service.
+func (o *Observer) Enter(now time.Time, names ...amaranthtide.BackendServerName) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, name := range names {
+		if s := o.servers[name]; s != nil && !s.inService {
+			s.inService, s.joining, s.counted = true, true, now.Add(EnterDelay)
+		}
+	}
+}
+
+// Leave takes engines out of service.
+func (o *Observer) Leave(now time.Time, names ...amaranthtide.BackendServerName) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, name := range names {
+		if s := o.servers[name]; s != nil && s.inService {
+			s.inService, s.out = false, now
+		}
+	}
+}
+
+// admitted judges one admission. The caller holds the lock.
+func (o *Observer) admitted(now time.Time, s *server, load int) {
+	if !s.inService {
+		if now.Sub(s.out) > OutDelay {
+			o.late++
+		}
+		return
+	}
+	s.joining = false
+	sum, n := o.sum(now, s.model)
+	mean := float64(sum) / float64(n)
+	ratio := float64(load) / max(mean, Cap(sum, n)/amaranthtide.DefaultCapMultiple)
+	o.skew.Admissions++
+	o.skew.Plain = max(o.skew.Plain, float64(load)/mean)
+	if ratio > o.skew.Max {
+		o.skew.Max, o.skew.MaxLoad, o.skew.MaxMean = ratio, load, mean
+	}
+	_ = o.ratios.RecordValue(min(int64(ratio*skewUnit), maxSkewUnits))
+	second := int(now.Sub(o.started) / time.Second)
+	for len(o.series) <= second {
+		o.series = append(o.series, 0)
+	}
+	o.series[second] = max(o.series[second], ratio)
+}
+
+// sum returns the load and the number of the servers that count in the mean.
+func (o *Observer) sum(now time.Time, model amaranthtide.ModelName) (load, n int) {
+	for _, s := range o.servers {
+		if s.inService && s.model == model && (!s.joining || !now.Before(s.counted)) {
+			load += s.load
+			n++
+		}
+	}
+	return load, n
+}
+
+// Cap returns the greatest load that a server may have when n servers carry sum.
+func Cap(sum, n int) float64 {
+	mean := float64(sum) / float64(n)
+	return max(math.Floor(amaranthtide.DefaultCapMultiple*mean), math.Ceil(mean))
+}
+
+// Skew returns the judgement so far.
+func (o *Observer) Skew() Skew {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.skew
+	s.P99 = float64(o.ratios.ValueAtPercentile(99)) / skewUnit
+	s.LateAdmissions = o.late
+	return s
+}
+
+// SkewSeries returns the greatest skew of each second from the given time on; 0
+// for a second without an admission.
+func (o *Observer) SkewSeries(from time.Time) []float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first := min(max(0, int(from.Sub(o.started)/time.Second)), len(o.series))
+	return append([]float64(nil), o.series[first:]...)
+}
+
+// Runs returns how many engines admitted the request whose body has the given
+// xxHash64 value.
+func (o *Observer) Runs(body uint64) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.runs[body].times
+}
+
+// Returning tells about a chat that returns: whether the engine that ran its last
+// request still lives, is in service and has room under the cap, and the number of
+// prompt tokens of the new body that this engine holds.
+func (o *Observer) Returning(now time.Time, last uint64, body []byte) (ok bool, held int) {
+	e, boot, ok := o.lastEngine(now, last)
+	if !ok || e.Boot() != boot {
+		return false, 0
+	}
+	return true, e.CachedTokens(body)
+}
+
+func (o *Observer) lastEngine(now time.Time, last uint64) (*engine.Server, amaranthtide.BootID, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, ok := o.runs[last]
+	if !ok {
+		return nil, "", false
+	}
+	s := o.servers[r.server]
+	if !s.inService || s.engine == nil {
+		return nil, "", false
+	}
+	sum, n := o.sum(now, s.model)
+	room := s.load < s.capacity && float64(s.load+1) <= Cap(sum+1, max(n, 1))
+	return s.engine, r.boot, room
+}
