--- /dev/null
+++ b/cmd/amaranthtide/main.go
@@ -0,0 +1,71 @@
+// Command amaranthtide is the command line for operators and developers.
+//
+// # Usage
+//
+//	amaranthtide demo --json
+//	amaranthtide bench --profile latawiec --duration 60s --plot bench.png
+//	amaranthtide bench --direct
+//
+// The exit status is 0 for success, 1 for a failure and 2 for bad flags. Each
+// subcommand has a file of its own and one line in commands.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// streams are the outputs of a subcommand: results go to out, progress to err.
+type streams struct{ out, err io.Writer }
+
+// action runs a subcommand after its flags were read.
+type action func(ctx context.Context, s streams) error
+
+// commands register the subcommands. Each returns its name and its action.
+var commands = []func(app *kingpin.Application) (string, action){
+	demoCommand,
+	benchCommand,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := run(ctx, os.Args[1:], streams{os.Stdout, os.Stderr})
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string, s streams) int {
+	app := kingpin.New("amaranthtide", "Command line of the router fleet.")
+	app.UsageWriter(s.err)
+	actions := make(map[string]action, len(commands))
+	for _, register := range commands {
+		name, do := register(app)
+		actions[name] = do
+	}
+	if len(args) == 0 {
+		// Parse would print the usage and end with status 0.
+		_, _ = fmt.Fprintln(s.err, "amaranthtide: the command is missing; see --help")
+		return exitUsage
+	}
+	name, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(s.err, "amaranthtide: %v; see --help\n", err)
+		return exitUsage
+	}
+	if err := actions[name](ctx, s); err != nil {
+		_, _ = fmt.Fprintf(s.err, "amaranthtide: %v\n", err)
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/internal/deployment/delay.go
@@ -0,0 +1,161 @@
+package deployment
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// delayQueue bounds the pieces of data under way in one direction.
+const delayQueue = 256
+
+// delayedConn delays data in both directions. Read deadlines work; a write returns
+// when its data is under way, as with a real network.
+type delayedConn struct {
+	net.Conn
+	delay    time.Duration
+	out, in  chan piece
+	closed   chan struct{}
+	once     sync.Once
+	mu       sync.Mutex
+	rest     []byte
+	deadline time.Time
+}
+
+type piece struct {
+	due  time.Time
+	data []byte
+	err  error
+}
+
+// delayed returns c with a delay of one way; c itself if the delay is 0.
+func delayed(c net.Conn, delay time.Duration) net.Conn {
+	if delay <= 0 {
+		return c
+	}
+	d := &delayedConn{
+		Conn: c, delay: delay, closed: make(chan struct{}),
+		out: make(chan piece, delayQueue), in: make(chan piece, delayQueue),
+	}
+	go d.runWriter()
+	go d.runReader()
+	return d
+}
+
+// wait waits until a piece is due and reports whether the connection is still open.
+func (d *delayedConn) wait(due time.Time) bool {
+	t := time.NewTimer(time.Until(due))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-d.closed:
+		return false
+	}
+}
+
+func (d *delayedConn) runWriter() {
+	for {
+		select {
+		case <-d.closed:
+			return
+		case p := <-d.out:
+			if !d.wait(p.due) {
+				return
+			}
+			if _, err := d.Conn.Write(p.data); err != nil {
+				_ = d.Close()
+				return
+			}
+		}
+	}
+}
+
+func (d *delayedConn) runReader() {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := d.Conn.Read(buf)
+		p := piece{time.Now().Add(d.delay), append([]byte(nil), buf[:n]...), err}
+		select {
+		case <-d.closed:
+			return
+		case d.in <- p:
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (d *delayedConn) Write(b []byte) (int, error) {
+	select {
+	case <-d.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	p := piece{time.Now().Add(d.delay), append([]byte(nil), b...), nil}
+	select {
+	case <-d.closed:
+		return 0, net.ErrClosed
+	case d.out <- p:
+		return len(b), nil
+	}
+}
+
+// Read implements net.Conn. It has one reader at a time.
+func (d *delayedConn) Read(b []byte) (int, error) {
+	if len(d.rest) == 0 {
+		d.mu.Lock()
+		deadline := d.deadline
+		d.mu.Unlock()
+		var expired <-chan time.Time
+		if !deadline.IsZero() {
+			t := time.NewTimer(time.Until(deadline))
+			defer t.Stop()
+			expired = t.C
+		}
+		select {
+		case <-d.closed:
+			return 0, net.ErrClosed
+		case <-expired:
+			return 0, os.ErrDeadlineExceeded
+		case p := <-d.in:
+			if !d.wait(p.due) {
+				return 0, net.ErrClosed
+			}
+			if p.err != nil {
+				// Later reads see the same end.
+				d.in <- piece{err: p.err}
+			}
+			if len(p.data) == 0 {
+				return 0, p.err
+			}
+			d.rest = p.data
+		}
+	}
+	n := copy(b, d.rest)
+	d.rest = d.rest[n:]
+	return n, nil
+}
+
+// SetReadDeadline implements net.Conn. It holds from the next Read on.
+func (d *delayedConn) SetReadDeadline(t time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deadline = t
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (d *delayedConn) SetDeadline(t time.Time) error {
+	return errors.Join(d.SetReadDeadline(t), d.SetWriteDeadline(t))
+}
+
+// Close implements net.Conn. Data under way is lost.
+func (d *delayedConn) Close() error {
+	d.once.Do(func() { close(d.closed) })
+	return d.Conn.Close()
+}
--- /dev/null
+++ b/cmd/internal/deployment/deployment.go
@@ -0,0 +1,353 @@
+// Package deployment runs a whole deployment in one process on loopback: the
+// stand-ins for the platform, the engines and the plain services, and the routers.
+//
+// # Usage
+//
+//	d, err := deployment.New(ctx, deployment.Config{Profile: deployment.Demo()})
+//	if err != nil {
+//		return err
+//	}
+//	defer d.Close()
+//	load := d.Load(20*time.Second, seed)
+//	go func() { _ = d.SetZoneOutOfService(ctx, "b", true) }()
+//	result := load.Run(ctx)
+//	fmt.Println(d.Observer().Skew())
+//
+// Delays and cuts between zones are put into the routers' dialer. Each zone reaches
+// the platform through a relay of its own, so that it can be cut off from it. A cut
+// breaks connections and refuses new ones.
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/standin/application"
+	"amaranthtide/standin/caller"
+	"amaranthtide/standin/observer"
+	"amaranthtide/standin/platform"
+	platformclient "amaranthtide/transport/platform"
+	"amaranthtide/transport/router"
+)
+
+// loopback is the address of all listeners.
+var loopback = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+
+const (
+	readyTimeout  = 20 * time.Second
+	readyInterval = 50 * time.Millisecond
+	// readyProbes is the number of chats, which are spread over the zones.
+	readyProbes = 4
+	// vmLag is the lag of the platform's list of VMs.
+	vmLag = time.Second
+)
+
+// Config is what a Deployment needs.
+type Config struct {
+	Profile Profile
+	Seed    uint64
+	// Logger is for the routers; nil logs nothing.
+	Logger hclog.Logger
+	// Policy and Unbounded are as in router.Options.
+	Policy    amaranthtide.Policy
+	Unbounded bool
+}
+
+// Deployment is a running deployment. It is concurrent-safe.
+type Deployment struct {
+	cfg      Config
+	observer *observer.Observer
+	network  *network
+	platform *platform.Server
+	client   *platformclient.Client
+	relays   map[amaranthtide.ZoneName]*relay
+	services []*application.Server
+
+	mu      sync.Mutex
+	engines []*engineHost
+	routers []*routerHost
+	// out are the zones out of service.
+	out amaranthtide.Set[amaranthtide.ZoneName]
+	// named counts the VMs and engines so far, so that replacements get new names.
+	named int
+	load  *caller.Load
+	// controlBytes is of the routers that are gone.
+	controlBytes uint64
+}
+
+// New starts a deployment and waits until all routers serve.
+func New(ctx context.Context, cfg Config) (*Deployment, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	d := &Deployment{
+		cfg: cfg, observer: observer.New(), network: newNetwork(cfg.Profile.ZoneDelay),
+		relays: make(map[amaranthtide.ZoneName]*relay), out: amaranthtide.NewSet[amaranthtide.ZoneName](),
+	}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	var err error
+	if d.platform, err = platform.New(platform.Config{Seed: d.cfg.Seed, VMLag: vmLag}); err != nil {
+		return err
+	}
+	d.client = platformclient.New(platformclient.Config{Addr: d.platform.Addr()})
+	p := d.cfg.Profile
+	for _, z := range p.Zones {
+		if d.relays[z], err = newRelay(d.platform.Addr()); err != nil {
+			return err
+		}
+	}
+	for i := range p.Services {
+		s, err := application.New(application.Config{})
+		if err != nil {
+			return fmt.Errorf("service %d: %w", i, err)
+		}
+		d.services = append(d.services, s)
+	}
+	for i := range p.Engines {
+		if _, err := d.addEngine(p.Zones[i%len(p.Zones)]); err != nil {
+			return err
+		}
+	}
+	for i := range p.RoutersPerZone * len(p.Zones) {
+		if _, err := d.placeRouter(p.Zones[i%len(p.Zones)]); err != nil {
+			return err
+		}
+	}
+	if err := d.edit(ctx, d.initialRows()...); err != nil {
+		return fmt.Errorf("initial table: %w", err)
+	}
+	d.listVMs()
+	for _, r := range d.routers {
+		if err := d.startRouter(r); err != nil {
+			return err
+		}
+	}
+	for _, e := range d.engines {
+		d.observer.Enter(time.Now(), e.name)
+	}
+	return d.waitReady(ctx)
+}
+
+func (d *Deployment) initialRows() []rowChange {
+	p := d.cfg.Profile
+	rows := []rowChange{
+		{amaranthtide.RowModel, string(Model), amaranthtide.Model{}},
+		{amaranthtide.RowRoute, string(Route), amaranthtide.Route{}},
+	}
+	for _, z := range p.Zones {
+		rows = append(rows, rowChange{amaranthtide.RowZone, string(z), amaranthtide.Zone{}})
+	}
+	for _, w := range p.Workspaces {
+		rows = append(rows, rowChange{amaranthtide.RowWorkspace, string(w.Name),
+			amaranthtide.Workspace{Weight: max(1, p.Weight[w.Name]), Model: Model}})
+	}
+	for _, e := range d.engines {
+		rows = append(rows, d.engineRow(e))
+	}
+	for i, s := range d.services {
+		rows = append(rows, rowChange{amaranthtide.RowBackendServer, fmt.Sprintf("service-%d", i), amaranthtide.BackendServer{
+			Zone: p.Zones[i%len(p.Zones)], Address: s.Addr(), Route: Route, Capacity: serviceCapacity, ColdLimit: serviceCapacity,
+		}})
+	}
+	for _, r := range d.routers {
+		rows = append(rows, r.row())
+	}
+	return rows
+}
+
+// serviceCapacity is more than the cashiers of any profile.
+const serviceCapacity = 64
+
+// waitReady waits until every router is ready and serves a few chats in a row: a
+// router that has the table may not yet know its peers.
+func (d *Deployment) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	t := time.NewTicker(readyInterval)
+	defer t.Stop()
+	for _, r := range d.hosts() {
+		for r.router != nil && !d.isReady(ctx, r.router) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("router %s does not serve after %v", r.vm, readyTimeout)
+			case <-t.C:
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) isReady(ctx context.Context, r *router.Router) bool {
+	if !d.call(ctx, http.MethodGet, r.Console(), "/readyz", "") {
+		return false
+	}
+	for i := range readyProbes {
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":1,"messages":[{"role":"user","content":"probe %d"}]}`, Model, i)
+		if !d.call(ctx, http.MethodPost, r.Callers(), "/v1/chat/completions", body) {
+			return false
+		}
+	}
+	return true
+}
+
+// call reports whether a call got status 200.
+func (d *Deployment) call(ctx context.Context, method string, addr netip.AddrPort, path, body string) bool {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+string(d.cfg.Profile.Workspaces[0].Name))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// Observer returns the observer of the engines.
+func (d *Deployment) Observer() *observer.Observer { return d.observer }
+
+// Platform returns the stand-in for the platform, to set its faults.
+func (d *Deployment) Platform() *platform.Server { return d.platform }
+
+// Load returns a load of the profile's callers. Routers that are replaced during
+// its run are made known to it.
+func (d *Deployment) Load(duration time.Duration, seed uint64) *caller.Load {
+	cfg := d.LoadConfig()
+	cfg.Duration, cfg.Seed = duration, seed
+	l := caller.New(cfg)
+	d.mu.Lock()
+	d.load = l
+	d.mu.Unlock()
+	return l
+}
+
+// LoadConfig returns the configuration of a load without its duration.
+func (d *Deployment) LoadConfig() caller.Config {
+	p := d.cfg.Profile
+	return caller.Config{
+		Routers: d.Callers(), Model: Model, Route: Route, Workspaces: p.Workspaces, Pause: p.Pause,
+		Observer: d.observer, Effects: d.Effects,
+		Dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			var n net.Dialer
+			c, err := n.DialContext(ctx, "tcp", addr.String())
+			if err != nil {
+				return nil, err
+			}
+			return delayed(c, p.ClientDelay), nil
+		},
+	}
+}
+
+// Effects returns the number of effects of each idempotency key.
+func (d *Deployment) Effects() map[amaranthtide.IdempotencyKey]int {
+	sum := make(map[amaranthtide.IdempotencyKey]int)
+	for _, s := range d.services {
+		for key, n := range s.Stats().Effects {
+			sum[amaranthtide.IdempotencyKey(key)] += n
+		}
+	}
+	return sum
+}
+
+// SetZoneOutOfService takes a zone out of service or puts it back by a change of
+// the table. It returns when the change is accepted.
+func (d *Deployment) SetZoneOutOfService(ctx context.Context, zone amaranthtide.ZoneName, out bool) error {
+	if !out {
+		// The return may be in force before its acceptance is known here.
+		d.moveZone(zone, out)
+	}
+	err := d.edit(ctx, rowChange{amaranthtide.RowZone, string(zone), amaranthtide.Zone{OutOfService: out}})
+	if err == nil && out {
+		d.moveZone(zone, out)
+	}
+	return err
+}
+
+// moveZone tells the observer that a zone leaves service or returns.
+func (d *Deployment) moveZone(zone amaranthtide.ZoneName, out bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if out {
+		d.out.Add(zone)
+	} else {
+		d.out.Remove(zone)
+	}
+	for _, e := range d.engines {
+		switch {
+		case e.zone != zone || e.down:
+		case out:
+			d.observer.Leave(time.Now(), e.name)
+		default:
+			d.observer.Enter(time.Now(), e.name)
+		}
+	}
+}
+
+// Cut cuts a zone off from the other zones and from the platform.
+func (d *Deployment) Cut(zone amaranthtide.ZoneName) { d.setCut(zone, true) }
+
+// Heal ends a Cut.
+func (d *Deployment) Heal(zone amaranthtide.ZoneName) { d.setCut(zone, false) }
+
+func (d *Deployment) setCut(zone amaranthtide.ZoneName, cut bool) {
+	d.network.setCut(zone, cut)
+	d.relays[zone].setCut(cut)
+}
+
+// Close stops everything at once and waits.
+func (d *Deployment) Close() {
+	d.mu.Lock()
+	routers, engines := d.routers, d.engines
+	d.routers, d.engines = nil, nil
+	d.mu.Unlock()
+	for _, r := range routers {
+		if r.router != nil {
+			r.router.Kill()
+		}
+	}
+	for _, e := range engines {
+		e.server.Close()
+	}
+	for _, s := range d.services {
+		s.Close()
+	}
+	for _, r := range d.relays {
+		if r != nil {
+			r.close()
+		}
+	}
+	if d.client != nil {
+		d.client.Close()
+	}
+	if d.platform != nil {
+		d.platform.Close()
+	}
+}
+
+func addrOf(l net.Listener) netip.AddrPort {
+	addr, _ := netip.ParseAddrPort(l.Addr().String())
+	return addr
+}
+
+var errUnknown = errors.New("no such server in this deployment")
--- /dev/null
+++ b/cmd/internal/deployment/engine.go
@@ -0,0 +1,209 @@
+package deployment
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/standin/engine"
+)
+
+// drainTimeout bounds the wait for the work of an engine that is replaced.
+const drainTimeout = 20 * time.Second
+
+type engineHost struct {
+	name   amaranthtide.BackendServerName
+	zone   amaranthtide.ZoneName
+	server *engine.Server
+	// down is set while the engine is out of service by itself, leaving from its
+	// LeaveEngine on.
+	down, leaving bool
+}
+
+func (d *Deployment) addEngine(zone amaranthtide.ZoneName) (*engineHost, error) {
+	p := d.cfg.Profile
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.named++
+	name := amaranthtide.BackendServerName(fmt.Sprintf("engine-%d", d.named))
+	cfg := p.Engine
+	cfg.Model, cfg.ReportLag, cfg.Seed = Model, reportLag, d.cfg.Seed+uint64(d.named)
+	s, err := engine.New(d.observer.Watch(name, cfg))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	d.observer.Attach(name, s)
+	e := &engineHost{name: name, zone: zone, server: s}
+	d.engines = append(d.engines, e)
+	return e, nil
+}
+
+// reportLag is the age of the engines' load reports.
+const reportLag = 200 * time.Millisecond
+
+func (d *Deployment) engineRow(e *engineHost) rowChange {
+	p := d.cfg.Profile.Engine
+	capacity := cmp.Or(p.Capacity, engine.DefaultCapacity)
+	return rowChange{amaranthtide.RowBackendServer, string(e.name), amaranthtide.BackendServer{
+		Zone: e.zone, Address: e.server.Addr(), Model: Model,
+		Capacity: capacity, ColdLimit: cmp.Or(p.ColdLimit, capacity), RampDuration: amaranthtide.Duration(p.Warmup),
+	}}
+}
+
+// Engines returns the names of the engines, in the order of their starts.
+func (d *Deployment) Engines() []amaranthtide.BackendServerName {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make([]amaranthtide.BackendServerName, len(d.engines))
+	for i, e := range d.engines {
+		names[i] = e.name
+	}
+	return names
+}
+
+// with calls f with the named engine.
+func (d *Deployment) with(name amaranthtide.BackendServerName, f func(*engineHost)) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.engines {
+		if e.name == name {
+			f(e)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: %w", name, errUnknown)
+}
+
+// KillEngine breaks all connections of an engine, which stays away until RestartEngine.
+func (d *Deployment) KillEngine(name amaranthtide.BackendServerName) error {
+	return d.with(name, func(e *engineHost) {
+		e.down = true
+		d.observer.Leave(time.Now(), name)
+		e.server.Kill()
+	})
+}
+
+// RestartEngine ends a KillEngine. The engine is cold.
+func (d *Deployment) RestartEngine(name amaranthtide.BackendServerName) error {
+	return d.with(name, func(e *engineHost) {
+		e.down = false
+		e.server.Restart()
+		if !d.out.Has(e.zone) {
+			d.observer.Enter(time.Now(), name)
+		}
+	})
+}
+
+// RebootEngine turns an engine cold without warning.
+func (d *Deployment) RebootEngine(name amaranthtide.BackendServerName) error {
+	return d.with(name, func(e *engineHost) {
+		d.observer.Leave(time.Now(), name)
+		e.server.Reboot()
+		if !d.out.Has(e.zone) {
+			d.observer.Enter(time.Now(), name)
+		}
+	})
+}
+
+// LeaveEngine makes an engine report that it leaves and refuse new work, and marks
+// it in the list of VMs.
+func (d *Deployment) LeaveEngine(name amaranthtide.BackendServerName) error {
+	err := d.with(name, func(e *engineHost) {
+		e.down, e.leaving = true, true
+		d.observer.Leave(time.Now(), name)
+		e.server.Leave()
+	})
+	d.listVMs()
+	return err
+}
+
+// ReplaceEngine puts a new engine of another name in the place of one that leaves.
+// It returns when the old one has finished its work and is gone.
+func (d *Deployment) ReplaceEngine(ctx context.Context, name amaranthtide.BackendServerName) error {
+	if err := d.LeaveEngine(name); err != nil {
+		return err
+	}
+	var old *engineHost
+	if err := d.with(name, func(e *engineHost) { old = e }); err != nil {
+		return err
+	}
+	e, err := d.addEngine(old.zone)
+	if err != nil {
+		return err
+	}
+	err = d.edit(ctx, d.engineRow(e), rowChange{amaranthtide.RowBackendServer, string(name), nil})
+	if err != nil {
+		return err
+	}
+	_ = d.with(e.name, func(e *engineHost) {
+		if !d.out.Has(e.zone) {
+			d.observer.Enter(time.Now(), e.name)
+		}
+	})
+	d.listVMs()
+	d.drain(ctx, old)
+	d.remove(old)
+	old.server.Close()
+	return nil
+}
+
+func (d *Deployment) drain(ctx context.Context, e *engineHost) {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	t := time.NewTicker(readyInterval)
+	defer t.Stop()
+	for e.server.Counters().InFlight > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (d *Deployment) remove(e *engineHost) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, x := range d.engines {
+		if x == e {
+			d.engines = append(d.engines[:i:i], d.engines[i+1:]...)
+			return
+		}
+	}
+}
+
+// Addresses returns the addresses of the engines, for direct calls.
+func (d *Deployment) Addresses() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	addrs := make([]netip.AddrPort, len(d.engines))
+	for i, e := range d.engines {
+		addrs[i] = e.server.Addr()
+	}
+	return addrs
+}
+
+// OutputTokens returns the number of tokens of all finished answers of the engines.
+func (d *Deployment) OutputTokens() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := 0
+	for _, e := range d.engines {
+		sum += e.server.Counters().OutputTokens
+	}
+	return sum
+}
+
+// InFlight returns the load of each engine.
+func (d *Deployment) InFlight() []int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	loads := make([]int, len(d.engines))
+	for i, e := range d.engines {
+		loads[i] = e.server.Counters().InFlight
+	}
+	return loads
+}
--- /dev/null
+++ b/cmd/internal/deployment/routers.go
@@ -0,0 +1,212 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/protocol/settings"
+	"amaranthtide/transport/router"
+)
+
+const (
+	fleetKey = "key of an embedded deployment"
+	// seedCount is the number of routers that each one knows at its start.
+	seedCount     = 3
+	shutdownGrace = 500 * time.Millisecond
+)
+
+type routerHost struct {
+	vm     amaranthtide.VMName
+	zone   amaranthtide.ZoneName
+	listen netip.AddrPort
+	router *router.Router
+}
+
+func (r *routerHost) row() rowChange {
+	return rowChange{amaranthtide.RowVM, string(r.vm), amaranthtide.VM{Zone: r.zone, Address: r.listen}}
+}
+
+// placeRouter chooses the name and the address of a router without starting it.
+func (d *Deployment) placeRouter(zone amaranthtide.ZoneName) (*routerHost, error) {
+	// The port is free from here to the start. Another process may take it in
+	// between, which shows as an error of the start.
+	l, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return nil, err
+	}
+	addr := addrOf(l)
+	if err := l.Close(); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.named++
+	vm := amaranthtide.VMName(fmt.Sprintf("vm-%s-%d", zone, d.named))
+	r := &routerHost{vm: vm, zone: zone, listen: addr}
+	d.routers = append(d.routers, r)
+	d.network.place(addr, zone)
+	return r, nil
+}
+
+func (d *Deployment) startRouter(r *routerHost) error {
+	cfg := settings.Default()
+	cfg.Router.VM, cfg.Router.Zone, cfg.Router.Listen = r.vm, r.zone, r.listen
+	cfg.Router.Callers, cfg.Router.Console = loopback, loopback
+	cfg.Router.FleetKey, cfg.Router.ShutdownGrace = fleetKey, shutdownGrace
+	cfg.Platform.Address = d.relays[r.zone].addr()
+	cfg.Platform.VMListInterval = time.Second
+	for _, other := range d.hosts() {
+		if other != r && len(cfg.Router.Seeds) < seedCount {
+			cfg.Router.Seeds = append(cfg.Router.Seeds, other.listen)
+		}
+	}
+	started, err := router.New(cfg, router.Options{
+		Logger: d.cfg.Logger.Named(string(r.vm)), Policy: d.cfg.Policy, Unbounded: d.cfg.Unbounded,
+		Dialer: d.network.dialer(r.zone),
+	})
+	if err != nil {
+		return fmt.Errorf("router %s: %w", r.vm, err)
+	}
+	d.mu.Lock()
+	r.router = started
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *Deployment) hosts() []*routerHost {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.routers)
+}
+
+// Routers returns the names of the running routers.
+func (d *Deployment) Routers() []amaranthtide.VMName {
+	var names []amaranthtide.VMName
+	for _, r := range d.hosts() {
+		names = append(names, r.vm)
+	}
+	return names
+}
+
+// Callers returns the addresses of the running routers for callers.
+func (d *Deployment) Callers() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addrs []netip.AddrPort
+	for _, r := range d.routers {
+		if r.router != nil {
+			addrs = append(addrs, r.router.Callers())
+		}
+	}
+	return addrs
+}
+
+// ControlBytes returns the control bytes that all routers sent so far, those that
+// are gone included.
+func (d *Deployment) ControlBytes() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := d.controlBytes
+	for _, r := range d.routers {
+		if r.router != nil {
+			sum += r.router.ControlBytes()
+		}
+	}
+	return sum
+}
+
+// take removes a router from the deployment.
+func (d *Deployment) take(vm amaranthtide.VMName) (*routerHost, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, r := range d.routers {
+		if r.vm == vm {
+			d.routers = slices.Delete(slices.Clone(d.routers), i, i+1)
+			return r, nil
+		}
+	}
+	return nil, fmt.Errorf("%s: %w", vm, errUnknown)
+}
+
+// KillRouter ends a router without grace. Its row and its entry in the callers'
+// balancer stay; the list of VMs drops it.
+func (d *Deployment) KillRouter(vm amaranthtide.VMName) error {
+	r, err := d.take(vm)
+	if err != nil {
+		return err
+	}
+	r.router.Kill()
+	d.gone(r)
+	return nil
+}
+
+// ReplaceRouter shuts a router down gracefully and puts a new one of another name in
+// its place, which is ready when ReplaceRouter returns.
+func (d *Deployment) ReplaceRouter(ctx context.Context, vm amaranthtide.VMName) error {
+	r, err := d.take(vm)
+	if err != nil {
+		return err
+	}
+	if err := d.AddRouter(ctx, r.zone); err != nil {
+		return err
+	}
+	err = r.router.Close()
+	d.gone(r)
+	if err != nil {
+		return err
+	}
+	return d.edit(ctx, rowChange{amaranthtide.RowVM, string(vm), nil})
+}
+
+// AddRouter starts a router, waits until it serves and makes it known to callers.
+func (d *Deployment) AddRouter(ctx context.Context, zone amaranthtide.ZoneName) error {
+	r, err := d.placeRouter(zone)
+	if err != nil {
+		return err
+	}
+	if err := d.edit(ctx, r.row()); err != nil {
+		return err
+	}
+	d.listVMs()
+	if err := d.startRouter(r); err != nil {
+		return err
+	}
+	if err := d.waitReady(ctx); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	load := d.load
+	d.mu.Unlock()
+	if load != nil {
+		load.SetRouters(d.Callers())
+	}
+	return nil
+}
+
+func (d *Deployment) gone(r *routerHost) {
+	d.mu.Lock()
+	d.controlBytes += r.router.ControlBytes()
+	d.mu.Unlock()
+	d.listVMs()
+}
+
+// listVMs writes the platform's list of VMs anew.
+func (d *Deployment) listVMs() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var vms []amaranthtide.ListedVM
+	for _, r := range d.routers {
+		vms = append(vms, amaranthtide.ListedVM{Name: r.vm, Zone: r.zone, Address: r.listen})
+	}
+	for _, e := range d.engines {
+		vms = append(vms, amaranthtide.ListedVM{
+			Name: amaranthtide.VMName(e.name), Zone: e.zone, Address: e.server.Addr(), Leaving: e.leaving,
+		})
+	}
+	d.platform.SetVMs(vms)
+}
--- a/standin/caller/stats.go
+++ b/standin/caller/stats.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	maxLatency       = 10 * time.Minute
-	latencyPrecision = 2
+	maxLatency       = 2 * time.Minute
+	latencyPrecision = 3
 )
 
 // stats gathers the outcomes of a run. It is concurrent-safe.
--- a/standin/observer/observer.go
+++ b/standin/observer/observer.go
@@ -57,7 +57,7 @@
 	ratios  *hdrhistogram.Histogram
 	started time.Time
 	series  []float64
-	late    int
+	means   float64
 }
 
 type server struct {
@@ -89,8 +89,12 @@
 	MaxLoad    int     `json:"maxLoad"`
 	MaxMean    float64 `json:"maxMean"`
 	Admissions int     `json:"admissions"`
-	// LateAdmissions are those at engines out of service for more than OutDelay.
-	LateAdmissions int `json:"lateAdmissions"`
+	// MeanLoad is the mean load at an admission, averaged over all admissions.
+	MeanLoad float64 `json:"meanLoad"`
+	// LateAdmissions are those at engines out of service for more than OutDelay, Latest
+	// is the greatest time that one of them was out of service.
+	LateAdmissions int                   `json:"lateAdmissions"`
+	Latest         amaranthtide.Duration `json:"latest"`
 }
 
 // New returns an Observer without engines.
@@ -162,8 +166,9 @@
 // admitted judges one admission. The caller holds the lock.
 func (o *Observer) admitted(now time.Time, s *server, load int) {
 	if !s.inService {
-		if now.Sub(s.out) > OutDelay {
-			o.late++
+		if out := now.Sub(s.out); out > OutDelay {
+			o.skew.LateAdmissions++
+			o.skew.Latest = max(o.skew.Latest, amaranthtide.Duration(out))
 		}
 		return
 	}
@@ -172,6 +177,7 @@
 	mean := float64(sum) / float64(n)
 	ratio := float64(load) / max(mean, Cap(sum, n)/amaranthtide.DefaultCapMultiple)
 	o.skew.Admissions++
+	o.means += mean
 	o.skew.Plain = max(o.skew.Plain, float64(load)/mean)
 	if ratio > o.skew.Max {
 		o.skew.Max, o.skew.MaxLoad, o.skew.MaxMean = ratio, load, mean
@@ -207,7 +213,7 @@
 	defer o.mu.Unlock()
 	s := o.skew
 	s.P99 = float64(o.ratios.ValueAtPercentile(99)) / skewUnit
-	s.LateAdmissions = o.late
+	s.MeanLoad = o.means / float64(max(1, s.Admissions))
 	return s
 }
 
