--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -243,6 +243,41 @@
 	is.True(whole > 0)
 }
 
+// Guards against requests that an ending router never took and that are reported
+// as run, and against losing those that it did take.
+func TestLeavingTellsTheLastStream(t *testing.T) {
+	is := is.New(t)
+	owner := newMesh(t, mesh.Options{Owner: ownerFunc(echo)})
+	p := rawDial(t, owner, fleetKey)
+	p.send(7, frame.Forward, message.NewForward(time.Now(), "engine", newRequest("key", nil), 100))
+	var end message.End
+	p.receive(frame.End, &end)
+	is.NoErr(owner.Shutdown(testContext(t)))
+	go func() { _ = owner.Close() }()
+	f, err := p.codec.Next()
+	is.NoErr(err)
+	is.Equal(f, frame.Frame{Stream: 7, Type: frame.Leaving, Payload: []byte{}})
+
+	addr, peers := rawListen(t, fleetKey)
+	entry := newMesh(t, mesh.Options{})
+	results := make(chan error, 2)
+	for range 2 {
+		go func() {
+			results <- entry.Forward(testContext(t), addr, "engine", newRequest("key", nil), &answer{})
+		}()
+	}
+	p = <-peers
+	var first, second message.Forward
+	p.receive(frame.Forward, &first)
+	p.receive(frame.Forward, &second)
+	p.sendRaw(1, frame.Leaving, nil)
+	wantKind(t, <-results, amaranthtide.KindShuttingDown)
+	wantKind(t, entry.Forward(testContext(t), addr, "engine", newRequest("key", nil), &answer{}), amaranthtide.KindNoBackend)
+	p.send(1, frame.Head, &message.Head{Attempt: first.Attempt})
+	p.send(1, frame.End, message.NewEnd(0, nil))
+	is.NoErr(<-results)
+}
+
 // Guards against a Shutdown that ignores its context.
 func TestShutdownGivesUp(t *testing.T) {
 	is := is.New(t)
