--- a/cmd/amaranthtide/direct.go
+++ b/cmd/amaranthtide/direct.go
@@ -143,7 +143,8 @@
 	without := memory() - base
 	alone.Close()
 	base = memory()
-	d, err := deployment.New(ctx, deployment.Config{Profile: directProfile(2, e), Seed: seed})
+	// Memory per stream does not depend on caps, but reaching the number does.
+	d, err := deployment.New(ctx, deployment.Config{Profile: directProfile(2, e), Seed: seed, Unbounded: true})
 	if err != nil {
 		return err
 	}
