transport/control: a zone that is out of service keeps readers and contacts

Cause: contacts were chosen among the routers in service. A zone out of service had none, so none of its routers read the change log, no digest left the zone, and it never learned that it was back in.

Change: if no router of the zone is in service, contacts are chosen among those that are heard of. Digests carry the lowest revision in force in the zone instead of the sender's, so that other zones can tell when all of its routers have a change; nothing else read that field.

--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -259,10 +259,32 @@
 // IsContact reports whether this router is a contact and reader of its zone, and
 // whether it is the first.
 func (c *Control) IsContact(now time.Time) (contact, first bool) {
-	i := slices.Index(placement.Contacts(c.opts.Zone, c.Live(now)), c.opts.VM)
+	i := slices.Index(placement.Contacts(c.opts.Zone, c.present(now)), c.opts.VM)
 	return i >= 0, i == 0
 }
 
+// present returns the live routers of this zone. If none is in service, it returns
+// those that are heard of: a zone that is out of service still needs readers that
+// learn when it is back, and contacts through which it hears other zones.
+func (c *Control) present(now time.Time) []amaranthtide.VMName {
+	if live := c.Live(now); len(live) > 0 {
+		return live
+	}
+	var present []amaranthtide.VMName
+	c.mu.Lock()
+	if !c.leaving {
+		present = append(present, c.opts.VM)
+	}
+	c.mu.Unlock()
+	for _, p := range c.roster.Peers() {
+		if !p.Report.Leaving && now.Sub(p.Received) <= membership.Suspicion(p.Report.Interval) {
+			present = append(present, p.Report.VM)
+		}
+	}
+	slices.Sort(present)
+	return present
+}
+
 // Awake reports whether this router takes part in its zone, see membership.View.
 func (c *Control) Awake(now time.Time) bool {
 	c.mu.Lock()
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -131,13 +131,13 @@
 	// A digest has no incarnation of its own. Beginning with it keeps the digests of
 	// a restarted router above those of its earlier run.
 	sequence := uint64(c.opts.Incarnation) + c.sequence
-	live := c.view.Live(now)
 	c.mu.Unlock()
+	live := c.present(now)
 	digest := amaranthtide.Digest{
 		Zone:     c.opts.Zone,
 		From:     c.opts.VM,
 		Sequence: sequence,
-		Revision: c.opts.Table.Revision(),
+		Revision: c.zoneRevision(live),
 		Live:     live,
 		Loads:    c.zoneLoads(now),
 	}
@@ -158,6 +158,18 @@
 	c.publish(message.TopicDigest, message.NewDigest(digest), to)
 }
 
+// zoneRevision returns the lowest revision in force at the live routers of this
+// zone, so that operators of other zones learn when all of them have a change.
+func (c *Control) zoneRevision(live []amaranthtide.VMName) amaranthtide.Revision {
+	least := c.opts.Table.Revision()
+	for _, vm := range live {
+		if p, ok := c.roster.Peer(vm); ok {
+			least = min(least, p.Report.Revision)
+		}
+	}
+	return least
+}
+
 // zoneLoads returns the loads of all servers of this zone, summed over the routers
 // that report them.
 func (c *Control) zoneLoads(now time.Time) []amaranthtide.ServerLoad {
