protocol/declaration: the table as INI files

One file per kind of row, one section per row. A kind without a file is left alone, an empty file declares that there are no rows. Bad rows are refused as a whole, each problem with file, row, field, value and what is allowed; so are rows or keys that occur twice and references to rows that are not declared. A set that INI files can't express is not written: each export is read back first.

--- /dev/null
+++ b/protocol/declaration/difference.go
@@ -0,0 +1,96 @@
+package declaration
+
+import (
+	"cmp"
+	"slices"
+
+	"amaranthtide"
+)
+
+// Difference is a row that has to change so that the table is as declared.
+type Difference struct {
+	Key amaranthtide.RowKey
+	// Expected is the revision of the row in force; 0 if there is none.
+	Expected amaranthtide.Revision
+	// Before and After are nil where the row does not exist.
+	Before amaranthtide.RowValue
+	After  amaranthtide.RowValue
+}
+
+// FieldChange is a field that differs. A text is empty where the field is not set.
+type FieldChange struct {
+	Name   string `json:"name"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// Edit returns the edit that takes the difference away.
+func (d Difference) Edit() amaranthtide.Edit {
+	return amaranthtide.Edit{Key: d.Key, Expected: d.Expected, Value: d.After}
+}
+
+// Fields returns the fields that differ, in the order of their declaration. For a
+// row that is added or deleted these are all that are set.
+func (d Difference) Fields() []FieldChange {
+	before, after := Fields(d.Before), Fields(d.After)
+	var changes []FieldChange
+	for _, f := range after {
+		old := textOf(before, f.Name)
+		if old != f.Text {
+			changes = append(changes, FieldChange{f.Name, old, f.Text})
+		}
+	}
+	for _, f := range before {
+		if !slices.ContainsFunc(after, func(a Field) bool { return a.Name == f.Name }) {
+			changes = append(changes, FieldChange{Name: f.Name, Before: f.Text})
+		}
+	}
+	return changes
+}
+
+func textOf(fields []Field, name string) string {
+	for _, f := range fields {
+		if f.Name == name {
+			return f.Text
+		}
+	}
+	return ""
+}
+
+// Compare returns what has to change in the rows in force: rows to add or change in
+// the order of RowKinds, so that a row comes after those it names, then rows to
+// delete in the reverse order. Kinds that the set does not declare are left alone.
+func (s Set) Compare(inForce []amaranthtide.Row) []Difference {
+	present := make(map[amaranthtide.RowKey]amaranthtide.Row)
+	for _, r := range inForce {
+		present[r.Key] = r
+	}
+	var differences []Difference
+	for _, r := range s.rows {
+		old, ok := present[r.Key]
+		delete(present, r.Key)
+		d := Difference{Key: r.Key, Expected: old.Revision, Before: old.Value, After: r.Value}
+		if !ok || len(d.Fields()) > 0 {
+			differences = append(differences, d)
+		}
+	}
+	var deleted []Difference
+	for key, r := range present {
+		if s.kinds.Has(key.Kind) {
+			deleted = append(deleted, Difference{Key: key, Expected: r.Revision, Before: r.Value})
+		}
+	}
+	slices.SortFunc(deleted, func(a, b Difference) int { return -order(a.Key, b.Key) })
+	return append(differences, deleted...)
+}
+
+// order compares keys by kind, in the order of RowKinds, and name.
+func order(a, b amaranthtide.RowKey) int {
+	kinds := amaranthtide.RowKinds()
+	return cmp.Or(cmp.Compare(slices.Index(kinds, a.Kind), slices.Index(kinds, b.Kind)), cmp.Compare(a.Name, b.Name))
+}
+
+func (s Set) sorted() Set {
+	slices.SortFunc(s.rows, func(a, b amaranthtide.Row) int { return order(a.Key, b.Key) })
+	return s
+}
--- /dev/null
+++ b/protocol/declaration/file.go
@@ -0,0 +1,244 @@
+package declaration
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"amaranthtide"
+)
+
+const (
+	extension = ".ini"
+	fileMode  = 0o644
+)
+
+// options keep sections and keys apart that occur twice, so that they are found, and
+// take values as they stand.
+var options = ini.LoadOptions{
+	IgnoreInlineComment:        true,
+	IgnoreContinuation:         true,
+	AllowNonUniqueSections:     true,
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+}
+
+// Read reads and checks the files in a directory. It fails with Problems if any
+// row is not allowed.
+func Read(dir string) (Set, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return Set{}, amaranthtide.Errorf(amaranthtide.KindBadRequest, "declaration: %w", err)
+	}
+	files := make(map[string][]byte)
+	for _, e := range entries {
+		if e.IsDir() || !strings.HasSuffix(e.Name(), extension) {
+			continue
+		}
+		data, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		if err != nil {
+			return Set{}, amaranthtide.Errorf(amaranthtide.KindBadRequest, "declaration: %w", err)
+		}
+		files[e.Name()] = data
+	}
+	if len(files) == 0 {
+		return Set{}, amaranthtide.Errorf(amaranthtide.KindBadRequest, "declaration: %s holds no file such as %s", dir, FileName(amaranthtide.RowZone))
+	}
+	return Parse(files)
+}
+
+// FileName returns the name of the file that declares the rows of a kind.
+func FileName(kind amaranthtide.RowKind) string { return string(kind) + extension }
+
+// Parse reads and checks files by name, as Read does.
+func Parse(files map[string][]byte) (Set, error) {
+	s := Set{kinds: amaranthtide.NewSet[amaranthtide.RowKind]()}
+	var problems Problems
+	names := amaranthtide.NewSet[string]()
+	for _, kind := range amaranthtide.RowKinds() {
+		name := FileName(kind)
+		names.Add(name)
+		data, ok := files[name]
+		if !ok {
+			continue
+		}
+		s.kinds.Add(kind)
+		rows, bad := parseFile(kind, name, data)
+		s.rows = append(s.rows, rows...)
+		problems = append(problems, bad...)
+	}
+	for name := range files {
+		if !names.Has(name) {
+			problems = append(problems, Problem{File: name, FieldError: amaranthtide.FieldError{
+				Field: "file name", Value: name, Allowed: strings.Join(amaranthtide.Sorted(names), ", ")}})
+		}
+	}
+	problems = append(problems, s.checkReferences()...)
+	if len(problems) > 0 {
+		return Set{}, problems
+	}
+	return s.sorted(), nil
+}
+
+func parseFile(kind amaranthtide.RowKind, name string, data []byte) ([]amaranthtide.Row, Problems) {
+	var problems Problems
+	add := func(row string, errs ...amaranthtide.FieldError) {
+		for _, e := range errs {
+			problems = append(problems, Problem{name, row, e})
+		}
+	}
+	f, err := ini.LoadSources(options, data)
+	if err != nil {
+		add("", amaranthtide.FieldError{Field: "syntax", Value: err.Error(), Allowed: "an INI file"})
+		return nil, problems
+	}
+	var rows []amaranthtide.Row
+	seen := amaranthtide.NewSet[string]()
+	for _, section := range f.Sections() {
+		row := section.Name()
+		if row == ini.DefaultSection {
+			// The library keeps keys before the first section here.
+			if len(section.Keys()) > 0 {
+				add(row, amaranthtide.FieldError{Field: section.Keys()[0].Name(), Value: section.Keys()[0].String(), Allowed: "keys below the section of a row that is not named " + ini.DefaultSection})
+			}
+			continue
+		}
+		if seen.Has(row) {
+			add(row, amaranthtide.FieldError{Field: "name", Value: row, Allowed: "each row once"})
+			continue
+		}
+		seen.Add(row)
+		value, errs := parseRow(kind, section)
+		add(row, amaranthtide.CheckName("name", row)...)
+		add(row, errs...)
+		rows = append(rows, amaranthtide.Row{Key: amaranthtide.RowKey{Kind: kind, Name: row}, Value: value})
+	}
+	return rows, problems
+}
+
+func parseRow(kind amaranthtide.RowKind, section *ini.Section) (amaranthtide.RowValue, []amaranthtide.FieldError) {
+	value, err := Zero(kind)
+	if err != nil {
+		return nil, []amaranthtide.FieldError{{Field: "kind", Value: string(kind), Allowed: "a kind of row"}}
+	}
+	var fields []Field
+	var errs []amaranthtide.FieldError
+	for _, key := range section.Keys() {
+		if texts := key.ValueWithShadows(); len(texts) > 1 {
+			errs = append(errs, amaranthtide.FieldError{Field: key.Name(), Value: strings.Join(texts, " and "), Allowed: "each key once"})
+			continue
+		}
+		fields = append(fields, Field{key.Name(), key.String()})
+	}
+	value, bad := With(value, fields)
+	errs = append(errs, bad...)
+	named := amaranthtide.NewSet[string]()
+	for _, e := range errs {
+		named.Add(e.Field)
+	}
+	for _, e := range value.Check() {
+		// A field that can't be read is zero, which is not worth a second line.
+		if !named.Has(e.Field) {
+			errs = append(errs, e)
+		}
+	}
+	return value, errs
+}
+
+// checkReferences finds rows that name rows of a declared kind which do not exist.
+func (s Set) checkReferences() Problems {
+	keys := amaranthtide.NewSet[amaranthtide.RowKey]()
+	for _, r := range s.rows {
+		keys.Add(r.Key)
+	}
+	var problems Problems
+	check := func(r amaranthtide.Row, kind amaranthtide.RowKind, name string) {
+		if name != "" && s.kinds.Has(kind) && !keys.Has(amaranthtide.RowKey{Kind: kind, Name: name}) {
+			problems = append(problems, Problem{FileName(r.Key.Kind), r.Key.Name,
+				amaranthtide.FieldError{Field: string(kind), Value: name, Allowed: "a row of " + FileName(kind)}})
+		}
+	}
+	for _, r := range s.rows {
+		switch v := r.Value.(type) {
+		case amaranthtide.VM:
+			check(r, amaranthtide.RowZone, string(v.Zone))
+		case amaranthtide.BackendServer:
+			check(r, amaranthtide.RowZone, string(v.Zone))
+			check(r, amaranthtide.RowModel, string(v.Model))
+			check(r, amaranthtide.RowRoute, string(v.Route))
+		case amaranthtide.Workspace:
+			check(r, amaranthtide.RowModel, string(v.Model))
+		}
+	}
+	return problems
+}
+
+// Write writes one file for each declared kind of rows. It writes nothing if a row
+// can't be declared, such as one whose list has an element with a comma.
+func (s Set) Write(dir string) error {
+	files := make(map[string][]byte)
+	for _, kind := range amaranthtide.RowKinds() {
+		if s.kinds.Has(kind) {
+			data, err := s.file(kind)
+			if err != nil {
+				return err
+			}
+			files[FileName(kind)] = data
+		}
+	}
+	if err := s.verify(files); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for name, data := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), data, fileMode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Set) file(kind amaranthtide.RowKind) ([]byte, error) {
+	f := ini.Empty(options)
+	for _, r := range s.rows {
+		if r.Key.Kind != kind {
+			continue
+		}
+		section, err := f.NewSection(r.Key.Name)
+		if err != nil {
+			return nil, err
+		}
+		for _, field := range Fields(r.Value) {
+			if _, err := section.NewKey(field.Name, field.Text); err != nil {
+				return nil, err
+			}
+		}
+	}
+	var b bytes.Buffer
+	_, err := f.WriteTo(&b)
+	return b.Bytes(), err
+}
+
+// verify reads files back, so that an export never declares another table than the
+// one it was made of.
+func (s Set) verify(files map[string][]byte) error {
+	for _, kind := range amaranthtide.RowKinds() {
+		rows, _ := parseFile(kind, FileName(kind), files[FileName(kind)])
+		byKey := make(map[amaranthtide.RowKey]amaranthtide.RowValue)
+		for _, r := range rows {
+			byKey[r.Key] = r.Value
+		}
+		for _, r := range s.rows {
+			if r.Key.Kind == kind && !reflect.DeepEqual(byKey[r.Key], r.Value) {
+				return amaranthtide.Errorf(amaranthtide.KindBadRequest, "row %s can't be declared in a file: its name or a value is special in INI files or lists", r.Key)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/protocol/declaration/set.go
@@ -0,0 +1,83 @@
+// Package declaration reads and writes the configuration table as INI files, for
+// operators who keep it in version control.
+//
+// A directory holds one file per kind of row: zone.ini, vm.ini, model.ini,
+// backendServer.ini, route.ini and workspace.ini. A file holds one section per row,
+// named as the row, with the fields of the row's JSON form as keys. Lists are
+// separated by commas. A kind without a file is not declared: its rows are left
+// alone. An empty file declares that there are no rows of its kind. Other files
+// than those that end in ".ini" are ignored.
+//
+//	# backendServer.ini
+//	[engine-1]
+//	zone = north-a
+//	address = 10.0.0.1:8000
+//	model = large
+//	capacity = 16
+//	coldLimit = 2
+//	rampDuration = 90s
+//
+// # Usage
+//
+//	set, err := declaration.Read("table")
+//	if err != nil {
+//		return err // Problems: file, row, field, value and what is allowed
+//	}
+//	for _, d := range set.Compare(rows) {
+//		edits = append(edits, d.Edit())
+//	}
+package declaration
+
+import (
+	"fmt"
+	"strings"
+
+	"amaranthtide"
+)
+
+// Set is a declared table. It is immutable.
+type Set struct {
+	// rows are ordered by kind and name and have no revision.
+	rows  []amaranthtide.Row
+	kinds amaranthtide.Set[amaranthtide.RowKind]
+}
+
+// New returns a Set that declares the given rows and all kinds of rows. The rows
+// are not checked.
+func New(rows []amaranthtide.Row) Set {
+	s := Set{kinds: amaranthtide.NewSet(amaranthtide.RowKinds()...)}
+	for _, kind := range amaranthtide.RowKinds() {
+		for _, r := range rows {
+			if r.Key.Kind == kind {
+				s.rows = append(s.rows, amaranthtide.Row{Key: r.Key, Value: r.Value})
+			}
+		}
+	}
+	return s
+}
+
+// Rows returns the declared rows. The slice is shared and must not be modified.
+func (s Set) Rows() []amaranthtide.Row { return s.rows }
+
+// Declares reports whether the set says which rows of a kind there are.
+func (s Set) Declares(kind amaranthtide.RowKind) bool { return s.kinds.Has(kind) }
+
+// Problem is one field of a declared row that is not allowed. Row is empty if the
+// file as a whole is bad.
+type Problem struct {
+	File string
+	Row  string
+	amaranthtide.FieldError
+}
+
+// Problems is the error for a declaration that is not allowed. It lists all of them.
+type Problems []Problem
+
+// Error returns one line per problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, e := range p {
+		lines[i] = fmt.Sprintf("%s: row [%s], field %s: value %q is not allowed; allowed: %s", e.File, e.Row, e.Field, e.Value, e.Allowed)
+	}
+	return strings.Join(lines, "\n")
+}
