cmd/amaranthtide: operators' command line

table get, set, plan, apply, export and log, zone and vm out and in, and status. operator.Register adds the commands to an application, so that the program can have others; operator.Execute maps errors to exit statuses.

--- /dev/null
+++ b/cmd/internal/operator/register.go
@@ -0,0 +1,129 @@
+// Package operator is the operators' command line: it reads and changes the
+// configuration table and shows the state of the fleet, by way of the console of
+// any router.
+//
+// # Usage
+//
+//	app := kingpin.New("amaranthtide", "...")
+//	operator.Register(app)
+//	os.Exit(operator.Execute(app, os.Args[1:]))
+//
+// A program may register commands of its own on the same application. Commands end
+// with status 0, with 1 if something failed or is wrong, and with 2 after bad usage;
+// "table plan" ends with 2 if anything would change.
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const (
+	statusOK     = 0
+	statusFailed = 1
+	statusUsage  = 2
+	// statusChanges is the status of a plan that would change something.
+	statusChanges = 2
+)
+
+const tokenVariable = "AMARANTHTIDE_TOKEN"
+
+// Main runs the operators' commands with the arguments of the process and ends the
+// process.
+func Main() {
+	app := kingpin.New("amaranthtide", "Operates a fleet of routers.")
+	Register(app)
+	os.Exit(Execute(app, os.Args[1:]))
+}
+
+// Execute runs the command that the arguments name, prints its error and returns the
+// status with which the process should end.
+func Execute(app *kingpin.Application, args []string) int {
+	_, err := app.Parse(args)
+	var e *exit
+	switch {
+	case err == nil:
+		return statusOK
+	case !errors.As(err, &e):
+		fmt.Fprintf(os.Stderr, "%s: %v; see --help\n", app.Name, err)
+		return statusUsage
+	case e.message != "":
+		fmt.Fprintf(os.Stderr, "%s: %s\n", app.Name, e.message)
+	}
+	return e.status
+}
+
+// exit is an error of a command with the status that it ends the process with.
+type exit struct {
+	status  int
+	message string
+}
+
+// Error implements error.
+func (e *exit) Error() string { return e.message }
+
+func failed(format string, args ...any) error {
+	return &exit{statusFailed, fmt.Sprintf(format, args...)}
+}
+
+func usage(format string, args ...any) error {
+	return &exit{statusUsage, fmt.Sprintf(format, args...)}
+}
+
+// common are the flags of all commands.
+type common struct {
+	routers []string
+	token   string
+	json    bool
+	timeout time.Duration
+	out     io.Writer
+}
+
+// Register adds the operators' commands to an application.
+func Register(app *kingpin.Application) {
+	registerTable(app)
+	registerStatus(app)
+	registerSwitch(app, "zone", "Takes an availability zone out of service and back.")
+	registerSwitch(app, "vm", "Takes a router's VM out of service and back.")
+}
+
+// flags adds the common flags to a command.
+func flags(c *kingpin.CmdClause) *common {
+	f := &common{out: os.Stdout}
+	c.Flag("router", "Console of a router, IP:port. Repeatable; the next one is asked when one does not answer.").
+		Required().StringsVar(&f.routers)
+	c.Flag("token", "Token of the operator. The variable keeps it out of the list of processes.").
+		Envar(tokenVariable).StringVar(&f.token)
+	c.Flag("json", "Print JSON.").BoolVar(&f.json)
+	c.Flag("timeout", "Time for one router to answer.").Default("15s").DurationVar(&f.timeout)
+	return f
+}
+
+// action runs a command with a client, until a signal to stop.
+func (f *common) action(run func(ctx context.Context, c *client) error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		var routers []netip.AddrPort
+		for _, text := range f.routers {
+			a, err := netip.ParseAddrPort(text)
+			if err != nil {
+				return usage("flag --router: value %q is not allowed; allowed: an IP address and a port, such as 10.0.0.1:9000", text)
+			}
+			routers = append(routers, a)
+		}
+		if f.token == "" {
+			return usage("a token is needed: flag --token or environment variable %s", tokenVariable)
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		return run(ctx, newClient(routers, f.token, f.timeout))
+	}
+}
--- /dev/null
+++ b/cmd/internal/operator/table.go
@@ -0,0 +1,342 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"amaranthtide"
+	"amaranthtide/coordination/change"
+	"amaranthtide/protocol/declaration"
+	"amaranthtide/protocol/operation"
+)
+
+func registerTable(app *kingpin.Application) {
+	c := app.Command("table", "Reads and changes the configuration table.")
+	f := flags(c)
+	registerGet(c, f)
+	registerSet(c, f)
+	registerPlan(c, f)
+	registerApply(c, f)
+	registerExport(c, f)
+	registerLog(c, f)
+}
+
+func registerGet(table *kingpin.CmdClause, f *common) {
+	c := table.Command("get", "Prints rows.")
+	kind := c.Arg("kind", "Kind of row.").Enum(kindNames()...)
+	name := c.Arg("name", "Name of the row.").String()
+	c.Action(f.action(func(ctx context.Context, c *client) error {
+		rows, err := c.rows(ctx, amaranthtide.RowKind(*kind))
+		if err != nil {
+			return report(err)
+		}
+		if *name != "" {
+			rows.Rows = slices.DeleteFunc(rows.Rows, func(r amaranthtide.Row) bool { return r.Key.Name != *name })
+			if len(rows.Rows) == 0 {
+				return failed("row %s/%s does not exist", *kind, *name)
+			}
+		}
+		if f.json {
+			return f.printJSON(rows)
+		}
+		for _, r := range rows.Rows {
+			f.printRow(r)
+		}
+		return nil
+	}))
+}
+
+func kindNames() []string {
+	var names []string
+	for _, k := range amaranthtide.RowKinds() {
+		names = append(names, string(k))
+	}
+	return names
+}
+
+func registerSet(table *kingpin.CmdClause, f *common) {
+	c := table.Command("set", "Changes fields of a row, or adds or deletes a row.")
+	kind := c.Arg("kind", "Kind of row.").Required().Enum(kindNames()...)
+	name := c.Arg("name", "Name of the row.").Required().String()
+	fields := c.Arg("field=value", "Fields to set; an empty value clears a field.").Strings()
+	expect := c.Flag("expect", "Revision of the row that the change builds on; default: the one in force; 0: the row must be new.").Default("-1").Int64()
+	remove := c.Flag("delete", "Delete the row.").Bool()
+	wait := waitFlag(c)
+	c.Action(f.action(func(ctx context.Context, c *client) error {
+		key := amaranthtide.RowKey{Kind: amaranthtide.RowKind(*kind), Name: *name}
+		if *remove == (len(*fields) > 0) {
+			return usage("give either fields or --delete")
+		}
+		row, ok, err := c.row(ctx, key)
+		if err != nil {
+			return report(err)
+		}
+		edit := amaranthtide.Edit{Key: key, Expected: row.Revision}
+		if *expect >= 0 {
+			edit.Expected = amaranthtide.Revision(*expect)
+		}
+		if *remove {
+			if !ok {
+				return failed("row %s does not exist", key)
+			}
+			return f.commit(ctx, c, []amaranthtide.Edit{edit}, *wait)
+		}
+		if edit.Value, err = withFields(row, *fields); err != nil {
+			return err
+		}
+		return f.commit(ctx, c, []amaranthtide.Edit{edit}, *wait)
+	}))
+}
+
+func withFields(row amaranthtide.Row, texts []string) (amaranthtide.RowValue, error) {
+	value := row.Value
+	if value == nil {
+		var err error
+		if value, err = declaration.Zero(row.Key.Kind); err != nil {
+			return nil, err
+		}
+	}
+	var fields []declaration.Field
+	for _, text := range texts {
+		name, v, ok := strings.Cut(text, "=")
+		if !ok {
+			return nil, usage("argument %q is not allowed; allowed: field=value", text)
+		}
+		fields = append(fields, declaration.Field{Name: name, Text: v})
+	}
+	value, errs := declaration.With(value, fields)
+	if len(errs) == 0 {
+		errs = value.Check()
+	}
+	if len(errs) > 0 {
+		var lines []string
+		for _, e := range errs {
+			lines = append(lines, fmt.Sprintf("row %s, field %s: value %q is not allowed; allowed: %s", row.Key, e.Field, e.Value, e.Allowed))
+		}
+		return nil, usage("%s", strings.Join(lines, "\n"))
+	}
+	return value, nil
+}
+
+func waitFlag(c *kingpin.CmdClause) *time.Duration {
+	return c.Flag("wait", "Time to wait until the change is in force everywhere.").Default("10s").Duration()
+}
+
+// commit sends one batch and prints what became of it.
+func (f *common) commit(ctx context.Context, c *client, edits []amaranthtide.Edit, wait time.Duration) error {
+	changed, err := c.change(ctx, edits, wait)
+	if err != nil {
+		return report(err)
+	}
+	if f.json {
+		if err := f.printJSON(changed); err != nil {
+			return err
+		}
+	} else {
+		f.printChanged(changed)
+	}
+	if in := changed.InForce; in != nil && !in.Everywhere {
+		return failed("accepted, but not in force everywhere after %v; see \"status\"", wait)
+	}
+	return nil
+}
+
+func registerPlan(table *kingpin.CmdClause, f *common) {
+	c := table.Command("plan", "Shows what apply would change. Ends with status 2 if anything would.")
+	dir := c.Arg("directory", "Directory of the declaration.").Required().String()
+	c.Action(f.action(func(ctx context.Context, c *client) error {
+		differences, err := f.plan(ctx, c, *dir)
+		if err != nil {
+			return err
+		}
+		if f.json {
+			if err := f.printJSON(differencesJSON(differences)); err != nil {
+				return err
+			}
+		} else {
+			f.printPlan(differences)
+		}
+		if len(differences) > 0 {
+			return &exit{status: statusChanges}
+		}
+		return nil
+	}))
+}
+
+func (f *common) plan(ctx context.Context, c *client, dir string) ([]declaration.Difference, error) {
+	set, err := declaration.Read(dir)
+	if err != nil {
+		return nil, usage("%v", err)
+	}
+	rows, err := c.rows(ctx, "")
+	if err != nil {
+		return nil, report(err)
+	}
+	return set.Compare(rows.Rows), nil
+}
+
+func registerApply(table *kingpin.CmdClause, f *common) {
+	c := table.Command("apply", "Changes the table so that it is as declared.")
+	dir := c.Arg("directory", "Directory of the declaration.").Required().String()
+	wait := waitFlag(c)
+	c.Action(f.action(func(ctx context.Context, c *client) error {
+		differences, err := f.plan(ctx, c, *dir)
+		if err != nil {
+			return err
+		}
+		if !f.json {
+			f.printPlan(differences)
+		}
+		done := 0
+		for batch := range slices.Chunk(differences, change.MaxEdits) {
+			var edits []amaranthtide.Edit
+			for _, d := range batch {
+				edits = append(edits, d.Edit())
+			}
+			last := done+len(batch) == len(differences)
+			if err := f.commit(ctx, c, edits, waitLast(last, *wait)); err != nil {
+				if done > 0 {
+					err = failed("%v\nThe first %d changes were accepted; apply again for the rest.", err, done)
+				}
+				return err
+			}
+			done += len(batch)
+		}
+		return nil
+	}))
+}
+
+// waitLast waits for the last batch only: a router that has it has the others.
+func waitLast(last bool, wait time.Duration) time.Duration {
+	if !last {
+		return 0
+	}
+	return wait
+}
+
+func registerExport(table *kingpin.CmdClause, f *common) {
+	c := table.Command("export", "Writes the table in force as a declaration.")
+	dir := c.Arg("directory", "Directory to write to; made if absent.").Required().String()
+	c.Action(f.action(func(ctx context.Context, c *client) error {
+		rows, err := c.rows(ctx, "")
+		if err != nil {
+			return report(err)
+		}
+		if err := declaration.New(rows.Rows).Write(*dir); err != nil {
+			return failed("%v", err)
+		}
+		if f.json {
+			return f.printJSON(map[string]any{"revision": rows.Revision, "rows": len(rows.Rows)})
+		}
+		f.printf("%d rows of revision %d written to %s\n", len(rows.Rows), rows.Revision, *dir)
+		return nil
+	}))
+}
+
+func registerLog(table *kingpin.CmdClause, f *common) {
+	c := table.Command("log", "Shows who changed what, and the orders to engines, in the order of time.")
+	row := c.Flag("row", "Only this row (kind/name) or kind.").String()
+	operator := c.Flag("operator", "Only this operator, or for orders this VM.").String()
+	since := c.Flag("since", "From this time (RFC 3339) or this long ago.").String()
+	until := c.Flag("until", "Before this time (RFC 3339) or this long ago.").String()
+	after := c.Flag("after", "The first changes after this revision instead of the last ones.").Default("-1").Int64()
+	before := c.Flag("before", "The last changes before this revision.").Uint64()
+	limit := c.Flag("limit", "Greatest number of changes.").Default("50").Int()
+	c.Action(f.action(func(ctx context.Context, c *client) error {
+		query := url.Values{"row": {*row}, "operator": {*operator}, "limit": {strconv.Itoa(*limit)}}
+		for name, text := range map[string]string{"since": *since, "until": *until} {
+			t, err := parseTime(time.Now(), text)
+			if err != nil {
+				return usage("flag --%s: value %q is not allowed; allowed: a time such as 2026-01-31T12:00:00Z or a duration such as 2h", name, text)
+			}
+			query.Set(name, t)
+		}
+		if *after >= 0 {
+			query.Set("after", strconv.FormatInt(*after, 10))
+		}
+		if *before > 0 {
+			query.Set("before", strconv.FormatUint(*before, 10))
+		}
+		var log operation.Log
+		if err := c.get(ctx, "/api/log", query, &log); err != nil {
+			return report(err)
+		}
+		if f.json {
+			return f.printJSON(log)
+		}
+		f.printLog(log)
+		return nil
+	}))
+}
+
+func parseTime(now time.Time, text string) (string, error) {
+	if d, err := time.ParseDuration(text); err == nil {
+		return now.Add(-d).UTC().Format(time.RFC3339), nil
+	}
+	if text == "" {
+		return "", nil
+	}
+	_, err := time.Parse(time.RFC3339, text)
+	return text, err
+}
+
+// registerSwitch adds the command that takes a zone or VM out of service and back.
+func registerSwitch(app *kingpin.Application, kind, help string) {
+	c := app.Command(kind, help)
+	f := flags(c)
+	for name, out := range map[string]bool{"out": true, "in": false} {
+		verb := "Takes it back into service."
+		if out {
+			verb = "Takes it out of service: it gets no new work; what runs goes on."
+		}
+		sub := c.Command(name, verb)
+		target := sub.Arg("name", "Name of the row.").Required().String()
+		wait := waitFlag(sub)
+		sub.Action(f.action(func(ctx context.Context, c *client) error {
+			key := amaranthtide.RowKey{Kind: amaranthtide.RowKind(kind), Name: *target}
+			row, ok, err := c.row(ctx, key)
+			if err != nil {
+				return report(err)
+			}
+			if !ok {
+				return failed("row %s does not exist", key)
+			}
+			value := switched(row.Value, out)
+			if value == row.Value {
+				f.printf("%s is already %s of service\n", key, map[bool]string{true: "out", false: "not out"}[out])
+				return nil
+			}
+			return f.commit(ctx, c, []amaranthtide.Edit{{Key: key, Expected: row.Revision, Value: value}}, *wait)
+		}))
+	}
+}
+
+func switched(value amaranthtide.RowValue, out bool) amaranthtide.RowValue {
+	switch v := value.(type) {
+	case amaranthtide.Zone:
+		v.OutOfService = out
+		return v
+	case amaranthtide.VM:
+		v.OutOfService = out
+		return v
+	default:
+		return value
+	}
+}
+
+// report turns an error of a call into one that ends the command.
+func report(err error) error {
+	var e *exit
+	if errors.As(err, &e) {
+		return err
+	}
+	return failed("%v", err)
+}
--- a/cmd/internal/scenario/scenario_test.go
+++ b/cmd/internal/scenario/scenario_test.go
@@ -19,6 +19,7 @@
 
 	"amaranthtide"
 	"amaranthtide/cmd/internal/daemon"
+	"amaranthtide/cmd/internal/operator"
 	"amaranthtide/cmd/internal/standins"
 	"amaranthtide/standin/engine"
 	"amaranthtide/transport/editor"
@@ -28,6 +29,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"amaranthtided": daemon.Main,
+		"amaranthtide":  operator.Main,
 		"standin":       standins.Main,
 	})
 }
@@ -39,17 +41,19 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":  ports,
-			"expand": expand,
-			"seed":   seed,
-			"ready":  ready,
-			"ask":    ask,
-			"call":   call,
-			"get":    get,
-			"spawn":  spawn,
-			"signal": signal,
-			"ended":  ended,
-			"pause":  pause,
+			"ports":   ports,
+			"expand":  expand,
+			"seed":    seed,
+			"ready":   ready,
+			"ask":     ask,
+			"call":    call,
+			"get":     get,
+			"spawn":   spawn,
+			"signal":  signal,
+			"ended":   ended,
+			"pause":   pause,
+			"waitfor": waitfor,
+			"put":     put,
 		},
 	})
 }
--- /dev/null
+++ b/cmd/internal/scenario/waitfor_test.go
@@ -0,0 +1,54 @@
+package scenario
+
+import (
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// put URL FILE puts a file, for settings of stand-ins.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(ts.ReadFile(args[1])))
+	ts.Check(err)
+	if status, _, answer := send(ts, req); status >= http.StatusBadRequest {
+		ts.Fatalf("got status %d: %s", status, answer)
+	}
+}
+
+// waitfor PATTERN PROGRAM ARG... runs a program until its output matches.
+func waitfor(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[0])
+	until := time.Now().Add(patience)
+	for {
+		cmd := exec.Command(program(ts, args[1]), args[2:]...)
+		cmd.Dir = ts.MkAbs(".")
+		cmd.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"), "AMARANTHTIDE_TOKEN="+ts.Getenv("AMARANTHTIDE_TOKEN"))
+		out, _ := cmd.CombinedOutput() // the status is of no interest, only what is shown
+		if pattern.Match(out) {
+			_, err := ts.Stdout().Write(out)
+			ts.Check(err)
+			return
+		}
+		if time.Now().After(until) {
+			ts.Fatalf("%v never showed %q; last:\n%s", args[1:], args[0], out)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// program returns the path of a program of the script.
+func program(ts *testscript.TestScript, name string) string {
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		if p := filepath.Join(dir, name); exists(p) {
+			return p
+		}
+	}
+	ts.Fatalf("program %s is not in the path", name)
+	return ""
+}
