--- a/cmd/amaranthtide/main.go
+++ b/cmd/amaranthtide/main.go
@@ -1,13 +1,19 @@
-// Command amaranthtide is the command line for operators and developers.
+// Command amaranthtide is the command line for operators and developers. It reads
+// and changes the configuration table, takes zones and VMs out of service and back,
+// shows the state of the fleet, and runs a demo and measurements.
 //
 // # Usage
 //
+//	export AMARANTHTIDE_TOKEN=...
+//	amaranthtide status --router 10.0.0.1:9000 --router 10.0.1.1:9000
+//	amaranthtide table plan ./table --router 10.0.0.1:9000
+//	amaranthtide zone out north-a --router 10.0.0.1:9000
 //	amaranthtide demo --json
 //	amaranthtide bench --profile latawiec --duration 60s --plot bench.png
 //	amaranthtide bench --direct
 //
-// The exit status is 0 for success, 1 for a failure and 2 for bad flags. Each
-// subcommand has a file of its own and one line in commands.
+// The exit status is 0 for success, 1 for a failure and 2 for bad flags; docs/operators.md
+// has those of the operators' commands, which live in cmd/internal/operator.
 package main
 
 import (
@@ -19,6 +25,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"amaranthtide/cmd/internal/operator"
 )
 
 const (
@@ -32,7 +40,7 @@
 // action runs a subcommand after its flags were read.
 type action func(ctx context.Context, s streams) error
 
-// commands register the subcommands. Each returns its name and its action.
+// commands register the demo and the measurements. Each returns its name and its action.
 var commands = []func(app *kingpin.Application) (string, action){
 	demoCommand,
 	benchCommand,
@@ -53,17 +61,18 @@
 		name, do := register(app)
 		actions[name] = do
 	}
+	operator.Register(app)
 	if len(args) == 0 {
 		// Parse would print the usage and end with status 0.
 		_, _ = fmt.Fprintln(s.err, "amaranthtide: the command is missing; see --help")
 		return exitUsage
 	}
 	name, err := app.Parse(args)
-	if err != nil {
-		_, _ = fmt.Fprintf(s.err, "amaranthtide: %v; see --help\n", err)
-		return exitUsage
+	do, ok := actions[name]
+	if err != nil || !ok {
+		return operator.Status(app, err)
 	}
-	if err := actions[name](ctx, s); err != nil {
+	if err := do(ctx, s); err != nil {
 		_, _ = fmt.Fprintf(s.err, "amaranthtide: %v\n", err)
 		return exitFailure
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -36,6 +36,7 @@
 	"amaranthtide/transport/groups"
 	"amaranthtide/transport/mesh"
 	"amaranthtide/transport/metrics"
+	"amaranthtide/transport/orders"
 	"amaranthtide/transport/owner"
 	"amaranthtide/transport/platform"
 	"amaranthtide/transport/probe"
@@ -86,6 +87,7 @@
 	editor   *editor.Editor
 	prober   *probe.Prober
 	groups   *groups.Exchange
+	orders   *orders.Driver
 	meter    *metrics.Meter
 
 	callers  *http.Server
@@ -232,6 +234,7 @@
 	})
 	r.editor = editor.New(editor.Options{Table: r.platform, Spread: r.spread})
 	r.prober = probe.New(probe.Options{Table: r.table, Owner: r.owner, Engines: r.engines, Interval: cfg.Control.ProbeInterval})
+	r.orders = r.newOrders()
 	return nil
 }
 
@@ -245,6 +248,7 @@
 	if err := r.groups.Start(); err != nil {
 		return err
 	}
+	r.orders.Start()
 	r.wg.Go(r.loopTable)
 	r.wg.Go(r.loopVMs)
 	if err := r.gauges(); err != nil {
