--- a/coordination/heartbeat/heartbeat.go
+++ b/coordination/heartbeat/heartbeat.go
@@ -64,8 +64,8 @@
 const (
 	// WholeEvery is the number of reports of which at least one is whole. Receivers ask
 	// for the whole report that they lack, so that few are sent unasked: with one in
-	// 8, whole reports were 40% of the bytes of a router with 15 servers.
-	WholeEvery = 32
+	// 8, whole reports were a third of the bytes of a router with 15 servers.
+	WholeEvery = 128
 	// repeats is how many whole reports in a row begin a new base, so that one lost
 	// message does not leave a receiver without it.
 	repeats = 2
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -112,7 +112,7 @@
 // longestInterval bounds the pacing of reports by bytes. A dead router is missed
 // after five intervals, which is to be under 4 s in zones of any size, and loads
 // older than 2 s don't count in the mean.
-const longestInterval = 750 * time.Millisecond
+const longestInterval = 700 * time.Millisecond
 
 // New returns a Control that does nothing until Start.
 func New(opts Options) *Control {
