transport/control: no digest before the peers were heard

Cause: a router that has just started sees only itself, counts as contact and sent a digest that names it as the only live router of its zone. Other zones then sent their digests to it; as it is no contact later, nobody passed them on, and zones passed for unreachable about 3 s after the start. Change: a router sends digests only once it takes part in its zone. Test of zones that stay reachable when a contact dies.

--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,3 +54,42 @@
 	f.nodes[2].control.Close()
 	eventually(t, "dead router missed", func() bool { return len(n.control.Live(time.Now())) == 2 })
 }
+
+// Guards against a zone that passes for unreachable since the contact that passes its
+// digests on is gone and the other one leaves them to it.
+func TestDigestsOutliveAContact(t *testing.T) {
+	const zones, routers = 3, 4
+	f := newFleet(t, zones, routers, 4)
+	reachable := func(n *node) bool {
+		for z := 1; z < zones; z++ {
+			if _, ok := n.control.LiveIn(time.Now(), zoneName(z)); !ok {
+				return false
+			}
+		}
+		return true
+	}
+	own := f.nodes[:routers]
+	for _, n := range own {
+		eventually(t, "other zones reachable", func() bool { return reachable(n) })
+	}
+	time.Sleep(2500 * time.Millisecond) // both contacts have settled who passes on what
+	left := slices.DeleteFunc(slices.Clone(own), func(n *node) bool {
+		_, first := n.control.IsContact(time.Now())
+		return first
+	})
+	if len(left) != routers-1 {
+		t.Fatalf("first contacts got: %d, want: 1", routers-len(left))
+	}
+	for _, n := range own {
+		if !slices.Contains(left, n) {
+			n.control.Close()
+		}
+	}
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range left {
+			if !reachable(n) {
+				t.Fatalf("other zones got: unreachable, want: reachable after a contact has died")
+			}
+		}
+	}
+}
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -213,10 +213,12 @@
 	c.loads.Set(l.Server, known{l, from, now})
 }
 
-// sendDigest sends a digest of this zone if this router is a contact.
+// sendDigest sends a digest of this zone if this router is a contact. A router that
+// has not heard its peers yet would name itself as the only live one, and other zones
+// would then send their digests to it instead of the contacts.
 func (c *Control) sendDigest(now time.Time) {
 	contact, first := c.IsContact(now)
-	if !contact {
+	if !contact || !c.Awake(now) {
 		return
 	}
 	c.mu.Lock()
