--- a/transport/control/zone_bench_test.go
+++ b/transport/control/zone_bench_test.go
@@ -149,7 +149,7 @@
 		}
 		for i := range servers {
 			s := amaranthtide.BackendServerName(fmt.Sprintf("engine-%c-%03d", 'a'+zi, i))
-			owner, _ := placement.Owner(s, names)
+			owner, _ := placement.Owner(amaranthtide.GroupName(s), names)
 			z.owned[owner] = append(z.owned[owner], s)
 			all = append(all, s)
 		}
