coordination/membership, transport/control: a zone out of service has representatives

The readers of the change log are the first two live routers of the zone, and a zone out of service has no live routers. Change: View.Representatives, the live routers or, if none is in service, those that run; contacts and readers are chosen among them. Other zones choose the contacts of a zone out of service among its listed VMs. If both listed contacts of a zone out of service are dead, its entries get no digests until it is back; the table is not concerned.

--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -407,6 +407,27 @@
 	return slices.Clone(v.live)
 }
 
+// Representatives returns the routers among which the contacts and readers of this
+// zone are chosen: the live ones or, if none is in service, those that run. A zone
+// out of service has to read the table to learn that it is back.
+func (v *View) Representatives(now time.Time) []amaranthtide.VMName {
+	v.refresh(now)
+	if len(v.live) > 0 {
+		return slices.Clone(v.live)
+	}
+	var running []amaranthtide.VMName
+	if !v.leaving {
+		running = append(running, v.cfg.Self)
+	}
+	for name, p := range v.peers {
+		if v.fresh(now, p) && !p.report.Leaving {
+			running = append(running, name)
+		}
+	}
+	slices.Sort(running)
+	return running
+}
+
 // Awake reports whether this router may own anything: it has heard its peers since
 // its start or last pause, and doesn't leave.
 func (v *View) Awake(now time.Time) bool {
@@ -489,12 +510,12 @@
 }
 
 // Contacts returns the contacts of a zone whose addresses are known, without this
-// router. Of an unreachable zone they are chosen among the listed VMs that don't
-// leave, so that digests can start to flow.
+// router. Of an unreachable zone, or one out of service, they are chosen among the
+// listed VMs that don't leave, so that digests flow.
 func (v *View) Contacts(now time.Time, z amaranthtide.ZoneName) []Peer {
 	known := v.known(now, z)
-	live, reachable := v.LiveIn(now, z)
-	if !reachable {
+	live, _ := v.LiveIn(now, z)
+	if len(live) == 0 {
 		for _, p := range known {
 			if !v.listedLeaving(p.Name) {
 				live = append(live, p.Name)
--- a/coordination/membership/view_test.go
+++ b/coordination/membership/view_test.go
@@ -439,3 +439,27 @@
 	is.Equal(membership.Interval(11, 600, 1500), 4400*time.Millisecond)
 	is.Equal(membership.Interval(1, 100, 1500), 100*time.Millisecond)
 }
+
+// Guards against a zone that never learns that it is back in service: without
+// representatives nobody in it reads the table.
+func TestZoneOutOfServiceIsRepresented(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := membership.New(now, membership.Config{Self: "vm-1", Zone: "z"}, interval)
+	for i, vm := range []amaranthtide.VMName{"vm-2", "vm-3"} {
+		v.Observe(now, amaranthtide.Report{VM: vm, Zone: "z", Sequence: 1, Interval: interval, Leaving: i == 1})
+	}
+	v.SetOutOfService(now, 1, nil, true)
+	if got, want := v.Representatives(now), []amaranthtide.VMName{"vm-1", "vm-2"}; !slices.Equal(got, want) || len(v.Live(now)) != 0 {
+		t.Errorf("got: %v, live %v, want: %v, none live", got, v.Live(now), want)
+	}
+	v.SetOutOfService(now, 2, amaranthtide.NewSet[amaranthtide.VMName]("vm-1"), false)
+	if got, want := v.Representatives(now), []amaranthtide.VMName{"vm-2"}; !slices.Equal(got, want) {
+		t.Errorf("got: %v, want: %v", got, want)
+	}
+	digest := amaranthtide.Digest{Zone: "y", From: "vm-9"}
+	v.List(now, []amaranthtide.ListedVM{{Name: "vm-9", Zone: "y"}})
+	v.ObserveDigest(now, digest)
+	if got := v.Contacts(now, "y"); len(got) != 1 || got[0].Name != "vm-9" {
+		t.Errorf("contacts of a zone out of service got: %v, want: vm-9", got)
+	}
+}
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -259,7 +259,10 @@
 // IsContact reports whether this router is a contact and reader of its zone, and
 // whether it is the first.
 func (c *Control) IsContact(now time.Time) (contact, first bool) {
-	i := slices.Index(placement.Contacts(c.opts.Zone, c.Live(now)), c.opts.VM)
+	c.mu.Lock()
+	representatives := c.view.Representatives(now)
+	c.mu.Unlock()
+	i := slices.Index(placement.Contacts(c.opts.Zone, representatives), c.opts.VM)
 	return i >= 0, i == 0
 }
 
