cmd/internal/scenario: P1 to P9 with separate processes under failure

Cause: the promises were proved for decisions only. Change: commands for a whole fleet, background loads that judge every answer, faults of the stand-ins and row changes; scripts shutdown, atmostonce, zoneout, wholeanswer, leaving, coldstart, tablechange, frozenowner and fill.

--- /dev/null
+++ b/cmd/internal/scenario/fleet_test.go
@@ -0,0 +1,232 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"amaranthtide"
+	"amaranthtide/coordination/change"
+	"amaranthtide/transport/editor"
+	"amaranthtide/transport/platform"
+)
+
+// fleet ZONE=ROUTERS/ENGINES... [FLAG...] starts the platform, the application app,
+// the engines engine-a1, engine-a2 and so on with the flags, and the routers
+// router-a1 and so on, and waits until the routers are ready. It sets PLATFORM, APP,
+// ENGINE_a1, CALLERS_a1 and CONSOLE_a1. ENGINE_ROW and MODEL_ROW hold further
+// fields of the rows of engines and of the model, GRACE the shutdown grace.
+func fleet(ts *testscript.TestScript, _ bool, args []string) {
+	var rows, consoles, routers, flags []string
+	row := func(kind, name, format string, values ...any) {
+		rows = append(rows, fmt.Sprintf(`{"key":{"kind":%q,"name":%q},"value":{%s}}`, kind, name, fmt.Sprintf(format, values...)))
+	}
+	var zones []string
+	for _, a := range args {
+		if strings.HasPrefix(a, "--") {
+			flags = append(flags, a)
+			continue
+		}
+		zones = append(zones, a)
+	}
+	ports(ts, false, []string{"PLATFORM", "APP"})
+	spawn(ts, false, []string{"platform", "standin", "--listen=" + ts.Getenv("PLATFORM"), "platform"})
+	spawn(ts, false, []string{"app", "standin", "--listen=" + ts.Getenv("APP"), "application", "--delay=50ms"})
+	row("model", "chat", "%s", ts.Getenv("MODEL_ROW"))
+	row("workspace", "small", `"weight":1,"model":"chat"`)
+	row("route", "entries", ``)
+	engineRow := ts.Getenv("ENGINE_ROW")
+	if engineRow == "" {
+		engineRow = `"capacity":16,"coldLimit":16`
+	}
+	for _, z := range zones {
+		var zone string
+		var nRouters, nEngines int
+		_, err := fmt.Sscanf(strings.NewReplacer("=", " ", "/", " ").Replace(z), "%s %d %d", &zone, &nRouters, &nEngines)
+		ts.Check(err)
+		row("zone", zone, ``)
+		row("backendServer", "app-"+zone, `"zone":%q,"address":%q,"route":"entries","capacity":64,"coldLimit":64`, zone, ts.Getenv("APP"))
+		for i := range nEngines {
+			id := zone + strconv.Itoa(i+1)
+			ports(ts, false, []string{"ENGINE_" + id})
+			addr := ts.Getenv("ENGINE_" + id)
+			spawn(ts, false, append([]string{"engine-" + id, "standin", "--listen=" + addr, "engine"}, flags...))
+			row("backendServer", "engine-"+id, `"zone":%q,"address":%q,"model":"chat",%s`, zone, addr, engineRow)
+		}
+		for i := range nRouters {
+			id := zone + strconv.Itoa(i+1)
+			ports(ts, false, []string{"LISTEN_" + id, "CALLERS_" + id, "CONSOLE_" + id})
+			row("vm", "router-"+id, `"zone":%q,"address":%q`, zone, ts.Getenv("LISTEN_"+id))
+			routers = append(routers, id)
+			consoles = append(consoles, ts.Getenv("CONSOLE_"+id))
+		}
+	}
+	ts.Check(os.WriteFile(ts.MkAbs("fleet.json"), []byte(strings.Join(rows, "\n")+"\n"), 0o600))
+	seed(ts, false, []string{ts.Getenv("PLATFORM"), "fleet.json"})
+	for _, id := range routers {
+		ts.Check(os.WriteFile(ts.MkAbs("router-"+id+".ini"), []byte(routerSettings(ts, id, routers)), 0o600))
+		start(ts, false, []string{id})
+	}
+	ready(ts, false, consoles)
+}
+
+func routerSettings(ts *testscript.TestScript, id string, routers []string) string {
+	var seeds []string
+	for _, other := range routers {
+		if other != id && other[0] == id[0] {
+			seeds = append(seeds, ts.Getenv("LISTEN_"+other))
+		}
+	}
+	grace := ts.Getenv("GRACE")
+	if grace == "" {
+		grace = "300ms"
+	}
+	return fmt.Sprintf(`[router]
+vm = router-%s
+zone = %c
+listen = %s
+callers = %s
+console = %s
+fleetKey = 0123456789abcdef
+seeds = %s
+shutdownGrace = %s
+[platform]
+address = %s
+vmListInterval = 500ms
+`, id, id[0], ts.Getenv("LISTEN_"+id), ts.Getenv("CALLERS_"+id), ts.Getenv("CONSOLE_"+id),
+		strings.Join(seeds, ","), grace, ts.Getenv("PLATFORM"))
+}
+
+// start ID... starts routers that the command fleet has set up.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		spawn(ts, false, []string{"router-" + id, "amaranthtided", "--settings", "router-" + id + ".ini"})
+	}
+}
+
+// put URL JSON sends a body, such as the faults of a stand-in.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(args[1]))
+	ts.Check(err)
+	if status, _, text := send(ts, req); status >= http.StatusBadRequest {
+		ts.Fatalf("got status %d: %s", status, text)
+	}
+}
+
+// post URL tells a stand-in to do something. An engine that is told to reboot
+// breaks the connection of the call, too.
+func post(ts *testscript.TestScript, _ bool, args []string) {
+	resp, err := http.Post(args[0], "", nil)
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	ts.Check(err)
+	_ = resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("got status %d", resp.StatusCode)
+	}
+}
+
+// edit KIND NAME FIELDS commits a change of a row, merged into the row as it stands,
+// and fails if the change is not accepted.
+func edit(ts *testscript.TestScript, _ bool, args []string) {
+	key := amaranthtide.RowKey{Kind: amaranthtide.RowKind(args[0]), Name: args[1]}
+	client := platform.New(platform.Config{Addr: netip.MustParseAddrPort(ts.Getenv("PLATFORM")), Timeout: time.Second})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	stored, err := client.Get(ctx, change.RowStoredKey(key))
+	for ; err != nil && ctx.Err() == nil; stored, err = client.Get(ctx, change.RowStoredKey(key)) {
+		time.Sleep(20 * time.Millisecond) // the answer was lost
+	}
+	ts.Check(err)
+	found, ok := stored.Get()
+	if !ok {
+		ts.Fatalf("%s does not exist", key)
+	}
+	row, err := change.DecodeRow(found)
+	ts.Check(err)
+	fields := map[string]any{}
+	data, err := amaranthtide.EncodeRowValue(row.Value)
+	ts.Check(err)
+	ts.Check(json.Unmarshal(data, &fields))
+	ts.Check(json.Unmarshal([]byte(args[2]), &fields))
+	data, err = json.Marshal(fields)
+	ts.Check(err)
+	value, err := amaranthtide.DecodeRowValue(key.Kind, data)
+	ts.Check(err)
+	result := editor.New(editor.Options{Table: client, Spread: discard{}}).Apply(ctx, "scenario",
+		[]amaranthtide.Edit{{Key: key, Expected: row.Revision, Value: value}})
+	ts.Check(result.Err)
+	ts.Setenv("REVISION", fmt.Sprint(result.Changes[0].Revision))
+}
+
+// sum VAR FIELD ENGINE... sets a variable to the sum of a counter of engines.
+func sum(ts *testscript.TestScript, _ bool, args []string) {
+	total := 0.0
+	for _, id := range args[2:] {
+		resp, err := http.Get("http://" + ts.Getenv("ENGINE_"+id) + "/standin/counters")
+		ts.Check(err)
+		counters := map[string]float64{}
+		ts.Check(json.NewDecoder(resp.Body).Decode(&counters))
+		_ = resp.Body.Close()
+		n, ok := counters[args[1]]
+		if !ok {
+			ts.Fatalf("no counter %s", args[1])
+		}
+		total += n
+	}
+	ts.Setenv(args[0], fmt.Sprint(total))
+	ts.Logf("%s of %v: %v", args[1], args[2:], total)
+}
+
+// compare A OP B compares numbers; OP is =, < or <=.
+func compare(ts *testscript.TestScript, neg bool, args []string) {
+	a, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	b, err := strconv.ParseFloat(args[2], 64)
+	ts.Check(err)
+	holds := map[string]bool{"=": a == b, "<": a < b, "<=": a <= b}[args[1]]
+	if holds == neg {
+		ts.Fatalf("got: %v, want: %v", args[0], args[1:])
+	}
+}
+
+// inforce WITHIN REVISION ID... waits until routers have a revision of the table,
+// and fails if one of them takes longer.
+func inforce(ts *testscript.TestScript, _ bool, args []string) {
+	within, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	want, err := strconv.ParseFloat(args[1], 64)
+	ts.Check(err)
+	began := time.Now()
+	for _, id := range args[2:] {
+		for revision(ts, id) < want {
+			if time.Since(began) > within {
+				ts.Fatalf("router-%s has revision %v after %v, want: %v", id, revision(ts, id), within, want)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	ts.Logf("revision %v in force after %v", want, time.Since(began).Round(time.Millisecond))
+}
+
+// revision returns the revision in force at a router; 0 if it doesn't answer.
+func revision(ts *testscript.TestScript, id string) float64 {
+	resp, err := http.Get("http://" + ts.Getenv("CONSOLE_"+id) + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return metric(resp.Body, "amaranthtide_table_revision")
+}
--- a/cmd/internal/scenario/scenario_test.go
+++ b/cmd/internal/scenario/scenario_test.go
@@ -6,12 +6,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +28,11 @@
 )
 
 func TestMain(m *testing.M) {
+	// Each script runs up to 20 processes; more scripts at once would crowd the
+	// machine and stretch the times that the promises name.
+	if err := flag.Set("test.parallel", "2"); err != nil {
+		panic(err)
+	}
 	testscript.Main(m, map[string]func(){
 		"amaranthtided": daemon.Main,
 		"standin":       standins.Main,
@@ -39,28 +46,57 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":  ports,
-			"expand": expand,
-			"seed":   seed,
-			"ready":  ready,
-			"ask":    ask,
-			"call":   call,
-			"get":    get,
-			"spawn":  spawn,
-			"signal": signal,
-			"ended":  ended,
-			"pause":  pause,
+			"ports":   ports,
+			"expand":  expand,
+			"seed":    seed,
+			"ready":   ready,
+			"ask":     ask,
+			"call":    call,
+			"get":     get,
+			"spawn":   spawn,
+			"signal":  signal,
+			"ended":   ended,
+			"pause":   pause,
+			"fleet":   fleet,
+			"start":   start,
+			"put":     put,
+			"post":    post,
+			"edit":    edit,
+			"sum":     sum,
+			"compare": compare,
+			"inforce": inforce,
+			"chats":   chats,
+			"calls":   calls,
+			"report":  report,
 		},
 	})
 }
 
+// lastPort is the last port that ports gave out. They lie below those that systems
+// choose for outgoing connections, which would else take a port before its program
+// listens. The process number keeps test processes apart.
+var lastPort atomic.Int32
+
+const (
+	firstPort = 12_000
+	portRange = 18_000
+	portBlock = 500
+)
+
 // ports NAME... sets each variable to the address of a free loopback port.
 func ports(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		for {
+			n := (os.Getpid()*portBlock + int(lastPort.Add(1))) % portRange
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+n)).String()
+			l, err := net.Listen("tcp", addr)
+			if err != nil {
+				continue
+			}
+			ts.Check(l.Close())
+			ts.Setenv(name, addr)
+			break
+		}
 	}
 }
 
@@ -108,13 +144,24 @@
 				}
 			}
 			if time.Now().After(until) {
-				ts.Fatalf("%s is not ready: %v", addr, err)
+				ts.Fatalf("%s is not ready: %v\n%s", addr, err, logs(ts))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
 }
 
+// logs returns what the routers of a script have logged.
+func logs(ts *testscript.TestScript) string {
+	var all strings.Builder
+	for name := range running(ts) {
+		if strings.HasPrefix(name, "router-") {
+			all.WriteString(name + ":\n" + ts.ReadFile(name+".log"))
+		}
+	}
+	return all.String()
+}
+
 // ask ADDRESS WORKSPACE CHAT TEXT sends a streamed chat completion and checks that
 // the answer is whole and the caller's own. With !, it wants an error, whose body
 // is printed.
