transport/spread: a router that peers can't help with changes takes their whole table

Their recent log begins there, so that they left changesWanted unanswered, and a router that is no reader never polls. Change: after five requests for changes without effect, a router loads the whole table of the peer that is ahead; Table.Load ignores older ones.

--- a/transport/spread/spreader.go
+++ b/transport/spread/spreader.go
@@ -265,21 +265,47 @@
 	}
 }
 
-// askPause bounds how often peers are asked for changes.
-const askPause = 50 * time.Millisecond
+const (
+	// askPause bounds how often peers are asked for changes.
+	askPause = 50 * time.Millisecond
+	// vainAsks are the requests without effect after which a peer is asked for its
+	// whole table. Answers may be lost, but a peer that started from a snapshot has
+	// no changes from before it.
+	vainAsks = 5
+)
 
 func (s *Spreader) loopBehind() {
+	vain := 0
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case peer := <-s.behind:
-			s.publish(message.TopicChangesWanted, &message.ChangesWanted{After: uint64(s.opts.Table.Revision())}, []netip.AddrPort{peer})
+			before := s.opts.Table.Revision()
+			s.publish(message.TopicChangesWanted, &message.ChangesWanted{After: uint64(before)}, []netip.AddrPort{peer})
 			s.sleep(askPause)
+			if s.opts.Table.Revision() != before {
+				vain = 0
+				continue
+			}
+			if vain++; vain >= vainAsks && before > 0 {
+				s.catchUp(peer)
+				vain = 0
+			}
 		}
 	}
 }
 
+// catchUp loads a peer's whole table, which is ignored if it is older than this one.
+func (s *Spreader) catchUp(peer netip.AddrPort) {
+	snapshot, err := s.fromPeer(peer)
+	if err != nil {
+		s.opts.Logger.Debug("peer has no table", "peer", peer, "error", err)
+		return
+	}
+	s.opts.Table.Load(snapshot.Rows, snapshot.Revision)
+}
+
 func (s *Spreader) sleep(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
