coordination: machine of a fleet of two zones against all promises at once

Cause: failures that break a promise only together are found by no proof of one package. Change: TestFleet drives views, gates, ledgers, plans, claims, editors, tables, leases and planners of 4 to 6 routers with one fake clock; rapid draws kills, starts, freezes, cuts between zones, outages, lost and late answers, cold turns, racing operators and requests. The fake platform gets an outage; its default number of runs is named. Its first findings against P1 were faults of the model: sums taken at the end of a step only, and rows that were applied in a step before the ledger knew them.

--- /dev/null
+++ b/coordination/fleet_model_test.go
@@ -0,0 +1,768 @@
+package coordination_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/admission"
+	"amaranthtide/coordination/claim"
+	"amaranthtide/coordination/fairness"
+	"amaranthtide/coordination/lease"
+	"amaranthtide/coordination/membership"
+	"amaranthtide/coordination/order"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/coordination/placement/rendezvous"
+	"amaranthtide/coordination/ramp"
+	"amaranthtide/coordination/route"
+	"amaranthtide/coordination/spread"
+	"amaranthtide/state/load"
+	"amaranthtide/state/table"
+)
+
+const (
+	fleetStep  = 100 * time.Millisecond
+	fleetDelay = 2 * fleetStep // the longest transit of a message
+	fleetOrder = 2 * time.Second
+	fleetQuiet = time.Second
+	fleetCold  = 2
+	fleetWarm  = 8
+	fleetRamp  = 3 * time.Second
+	// connectionLoss is when an entry gives up an owner that does not answer.
+	connectionLoss = 1500 * time.Millisecond
+)
+
+// node is a router with the decisions of one process; nil parts have died with it.
+type node struct {
+	name        amaranthtide.VMName
+	zone        amaranthtide.ZoneName
+	alive       bool
+	frozen      bool
+	incarnation amaranthtide.Incarnation
+	sequence    uint64
+	view        *membership.View
+	tab         *table.Table
+	ledger      *load.Ledger
+	gates       map[amaranthtide.BackendServerName]*admission.Gate
+	known       map[amaranthtide.BackendServerName]knownLoad
+	reports     map[amaranthtide.VMName]amaranthtide.Report
+	received    map[amaranthtide.VMName]time.Time
+	inbox       []func() // what is done once the router runs
+	jobs        []*job
+	applied     amaranthtide.Revision // whose rows the view knows
+	lease       *lease.Lease
+	leaseStep   lease.Step
+	planner     *order.Planner
+	probed      time.Time
+	seen        amaranthtide.Revision
+}
+
+type knownLoad struct {
+	load amaranthtide.ServerLoad
+	at   time.Time
+}
+
+// backend is an engine or a plain service.
+type backend struct {
+	name     amaranthtide.BackendServerName
+	row      amaranthtide.BackendServer
+	boot     int
+	booted   time.Time
+	inFlight map[amaranthtide.AttemptID]*job
+	fencing  amaranthtide.FencingNumber
+	orders   []sentFleetOrder
+}
+
+type sentFleetOrder struct {
+	from  *node
+	at    amaranthtide.Incarnation
+	order amaranthtide.Order
+	due   time.Time
+}
+
+func (b *backend) bears(now time.Time) int {
+	age := min(now.Sub(b.booted), fleetRamp)
+	return fleetCold + int(float64(fleetWarm-fleetCold)*float64(age)/float64(fleetRamp))
+}
+
+// flight is a caller's request at its entry.
+type flight struct {
+	req         *amaranthtide.Request
+	entry       *node
+	incarnation amaranthtide.Incarnation
+	plan        *route.Plan
+	waiting     amaranthtide.AttemptID // of the target without an outcome
+	since       time.Time
+	ended       bool
+	err         error
+	sends       int
+}
+
+// job is an attempt at the owner.
+type job struct {
+	flight   *flight
+	attempt  amaranthtide.AttemptID
+	server   *backend
+	admitted bool
+	claim    *claim.Claim
+	step     claim.Step
+	started  time.Time
+	due      time.Time // when the server has finished
+	sent     bool
+	done     bool
+}
+
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	random  *rand.Rand
+	table   *fakeTable
+	nodes   []*node
+	servers []*backend
+	flights []*flight
+	edits   []*operator
+	late    []func() bool
+	zoneCut bool
+	// trouble is when the platform or the link between zones last failed, or a
+	// router died or froze.
+	trouble time.Time
+	// accepted are the table changes that an operator was told to be accepted.
+	accepted []acceptedChange
+	effects  map[amaranthtide.IdempotencyKey]int
+	// sums are the greatest load by way of a router in each step, newest last; peaks
+	// that of the step under way.
+	sums    map[*node][]int
+	peaks   map[*node]int
+	ids     int
+	starts  int
+	checked int
+}
+
+type acceptedChange struct {
+	at     time.Time
+	change amaranthtide.Change
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, now: epoch, table: newFakeTable(), effects: map[amaranthtide.IdempotencyKey]int{}, sums: map[*node][]int{}, peaks: map[*node]int{}}
+	f.random = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "random"), 0))
+	f.table.healed = true
+	rows := []amaranthtide.Edit{
+		{Key: amaranthtide.RowKey{Kind: amaranthtide.RowModel, Name: "m"}, Value: amaranthtide.Model{}},
+		{Key: amaranthtide.RowKey{Kind: amaranthtide.RowRoute, Name: "pay"}, Value: amaranthtide.Route{}},
+	}
+	for _, zone := range []amaranthtide.ZoneName{"a", "b"} {
+		rows = append(rows, amaranthtide.Edit{Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: string(zone)}, Value: amaranthtide.Zone{}})
+		for i := range rapid.IntRange(2, 3).Draw(t, "routers") {
+			f.nodes = append(f.nodes, &node{name: amaranthtide.VMName(fmt.Sprint("vm-", zone, i)), zone: zone})
+		}
+		for i := range 3 {
+			b := &backend{name: amaranthtide.BackendServerName(fmt.Sprint("server-", zone, i)), inFlight: map[amaranthtide.AttemptID]*job{}, booted: f.now.Add(-time.Hour),
+				row: amaranthtide.BackendServer{Zone: zone, Address: netip.MustParseAddrPort("127.0.0.1:80"), Model: "m", Capacity: fleetWarm,
+					ColdLimit: fleetCold, RampDuration: amaranthtide.Duration(fleetRamp), ChecksFencing: i == 0, Version: "0"}}
+			if i == 2 {
+				b.row.Model, b.row.Route, b.row.Version = "", "pay", ""
+			}
+			f.servers = append(f.servers, b)
+			rows = append(rows, amaranthtide.Edit{Key: amaranthtide.RowKey{Kind: amaranthtide.RowBackendServer, Name: string(b.name)}, Value: b.row})
+		}
+	}
+	o := newOperator(0, rows, f.now, f.now.Add(time.Hour))
+	for !o.done() {
+		o.advance(t, f.table, f.now)
+	}
+	f.table.healed = false
+	for _, n := range f.nodes {
+		f.restart(n)
+	}
+	return f
+}
+
+func (f *fleet) list() []amaranthtide.ListedVM {
+	var vms []amaranthtide.ListedVM
+	for _, n := range f.nodes {
+		vms = append(vms, amaranthtide.ListedVM{Name: n.name, Zone: n.zone})
+	}
+	return vms
+}
+
+// restart starts a router's process. It loads the table from a peer that runs, else
+// from the platform.
+func (f *fleet) restart(n *node) {
+	var rows []amaranthtide.Row
+	var revision amaranthtide.Revision
+	for _, peer := range f.nodes {
+		if peer != n && peer.zone == n.zone && peer.alive && !peer.frozen {
+			rows, revision = peer.tab.Snapshot()
+		}
+	}
+	if revision == 0 {
+		if f.table.outage {
+			return
+		}
+		log, _ := spread.Changes(f.table.list("log/", "", 10_000))
+		for _, row := range replay(log) {
+			rows = append(rows, row)
+		}
+		revision = amaranthtide.Revision(len(log))
+	}
+	f.trouble = f.now
+	*n = node{name: n.name, zone: n.zone, alive: true, incarnation: n.incarnation + 1,
+		view: membership.New(f.now, membership.Config{Self: n.name, Zone: n.zone}, fleetStep), tab: table.New(), ledger: load.New(n.name),
+		gates: map[amaranthtide.BackendServerName]*admission.Gate{}, known: map[amaranthtide.BackendServerName]knownLoad{},
+		reports: map[amaranthtide.VMName]amaranthtide.Report{}, received: map[amaranthtide.VMName]time.Time{}}
+	n.tab.Load(rows, revision)
+	n.view.List(f.now, f.list())
+	n.planner = order.New(order.Config{})
+	holder := fmt.Sprint(n.name, "-", n.incarnation)
+	n.lease = lease.New(lease.Config{Zone: n.zone, Holder: holder, Duration: 5 * time.Second, LongestOrder: fleetOrder, NewToken: func() amaranthtide.Token {
+		return amaranthtide.Token(f.id(holder))
+	}})
+	n.leaseStep = n.lease.Start(f.now)
+	f.tableChanged(n)
+}
+
+func (f *fleet) id(prefix string) string {
+	f.ids++
+	return fmt.Sprint(prefix, "-", f.ids)
+}
+
+// kill ends a router's process. Its connections break: servers cancel what it runs,
+// but for keyed requests, which have had their effect.
+func (f *fleet) kill(n *node) {
+	n.alive, n.frozen, f.trouble = false, false, f.now
+	for _, j := range n.jobs {
+		delete(j.server.inFlight, j.attempt)
+	}
+}
+
+func (f *fleet) tableChanged(n *node) {
+	if n.applied == n.tab.Revision() {
+		return
+	}
+	n.applied = n.tab.Revision()
+	zone, _ := n.tab.Zone(n.zone)
+	n.view.SetOutOfService(f.now, n.applied, amaranthtide.NewSet[amaranthtide.VMName](), zone.OutOfService)
+	var inService []amaranthtide.BackendServerName
+	for _, b := range f.servers {
+		row, _ := n.tab.BackendServer(b.name)
+		if z, _ := n.tab.Zone(row.Zone); row.Model == "m" && !row.Leaving && !z.OutOfService {
+			inService = append(inService, b.name)
+		}
+		if row.Model == "m" && row.Zone == n.zone {
+			n.planner.Declare(b.name, row, fleetOrder)
+		}
+	}
+	n.ledger.SetServers("m", inService)
+}
+
+// later runs something at a router after a drawn transit, unless it has died since.
+func (f *fleet) later(n *node, do func()) {
+	incarnation, due := n.incarnation, f.now.Add(fleetStep*time.Duration(f.random.IntN(int(fleetDelay/fleetStep)))+1)
+	f.late = append(f.late, func() bool {
+		if f.now.Before(due) {
+			return false
+		}
+		if n.alive && n.incarnation == incarnation {
+			n.inbox = append(n.inbox, do)
+		}
+		return true
+	})
+}
+
+func (f *fleet) reachable(a, b *node) bool { return a.zone == b.zone || !f.zoneCut }
+
+// advance runs the fleet for one step.
+func (f *fleet) advance() {
+	f.now = f.now.Add(fleetStep)
+	if f.table.outage || f.zoneCut {
+		f.trouble = f.now
+	}
+	var kept []func() bool
+	due := f.late
+	f.late = nil
+	for _, do := range due {
+		if !do() {
+			kept = append(kept, do)
+		}
+	}
+	f.late = append(kept, f.late...)
+	f.serve()
+	for i, n := range f.nodes {
+		if n.frozen {
+			f.trouble = f.now
+		}
+		if n.alive && !n.frozen {
+			f.run(i, n)
+		}
+	}
+	for _, o := range f.edits {
+		f.runEdit(o)
+	}
+	for _, n := range f.nodes {
+		f.sums[n] = append(f.sums[n], max(f.peaks[n], n.sum()))
+		f.peaks[n] = n.sum()
+	}
+	f.check()
+}
+
+// sum returns the engines' load by way of the router.
+func (n *node) sum() int {
+	sum := 0
+	for _, j := range n.jobs {
+		if j.admitted && !j.done && j.server.row.Model == "m" {
+			sum++
+		}
+	}
+	return sum
+}
+
+// serve ends what servers have finished and applies orders.
+func (f *fleet) serve() {
+	for _, b := range f.servers {
+		for id, j := range b.inFlight {
+			if !f.now.Before(j.due) {
+				delete(b.inFlight, id)
+			}
+		}
+		b.orders = slices.DeleteFunc(b.orders, func(o sentFleetOrder) bool {
+			if f.now.Before(o.due) {
+				return false
+			}
+			if o.order.Fencing < b.fencing && !b.row.ChecksFencing {
+				f.t.Fatalf("P11: %s got: effect of order %d after that of order %d", b.name, o.order.Fencing, b.fencing)
+			}
+			kind := amaranthtide.KindFenced
+			if o.order.Fencing >= b.fencing {
+				b.fencing, kind = o.order.Fencing, 0
+			}
+			if o.from.alive && o.from.incarnation == o.at {
+				f.later(o.from, func() {
+					if kind != 0 {
+						o.from.planner.Ordered(f.now, b.name, amaranthtide.Errorf(kind, "fenced"))
+						return
+					}
+					o.from.planner.Ordered(f.now, b.name, nil)
+				})
+			}
+			return true
+		})
+	}
+}
+
+func (f *fleet) run(i int, n *node) {
+	inbox := n.inbox
+	n.inbox = nil
+	for _, do := range inbox {
+		do()
+		f.tableChanged(n)
+	}
+	f.sendReport(n)
+	f.contact(n)
+	for _, b := range f.servers {
+		f.tend(n, b)
+	}
+	if f.now.Sub(n.probed) >= time.Second {
+		n.probed = f.now
+		f.probe(n)
+	}
+	for _, j := range slices.Clone(n.jobs) {
+		f.work(n, j)
+	}
+	n.jobs = slices.DeleteFunc(n.jobs, func(j *job) bool { return j.done })
+	for _, fl := range f.flights {
+		if fl.entry == n && fl.incarnation == n.incarnation && !fl.ended {
+			f.drive(n, fl)
+		}
+	}
+	if (int(f.now.Sub(epoch)/fleetStep)+i)%4 == 0 {
+		f.lead(n)
+	}
+}
+
+// tend brings the gate of a server up to date and starts what may start.
+func (f *fleet) tend(n *node, b *backend) {
+	g, ok := n.gates[b.name]
+	owner, owned := n.view.Owner(f.now, b.name)
+	owns := owned && owner == n.name && b.row.Zone == n.zone
+	if !ok {
+		if !owns {
+			return
+		}
+		g = admission.New(f.now, admission.Config{Server: b.name, QueueLimit: 16, Quiet: fleetQuiet,
+			Ramp: ramp.Config{ColdLimit: fleetCold, Capacity: fleetWarm, Duration: fleetRamp}})
+		if k, ok := n.known[b.name]; ok && k.load.Boot != "" && f.now.Sub(k.at) <= 3*time.Second {
+			g.Resume(f.now, k.load.Boot, k.load.Allowance)
+		}
+		n.gates[b.name] = g
+	}
+	g.SetOwned(f.now, owns)
+	row, _ := n.tab.BackendServer(b.name)
+	zone, _ := n.tab.Zone(n.zone)
+	g.SetLeaving(row.Leaving || zone.OutOfService)
+	f.decide(n, b, g, func(l admission.Limits) {
+		started, refused := g.Next(f.now, l)
+		for _, s := range started {
+			f.admit(n, b, s.Attempt)
+		}
+		for _, r := range refused {
+			f.refuse(n, r.Ticket.Attempt, r.Err)
+		}
+	})
+	if !owns && g.InFlight() == 0 {
+		delete(n.gates, b.name)
+	}
+}
+
+func (f *fleet) decide(n *node, b *backend, g *admission.Gate, do func(admission.Limits)) {
+	model, _ := n.tab.Model(b.row.Model)
+	settled := n.view.Settled(f.now, b.name)
+	n.ledger.Update(f.now, b.row.Model, b.name, func(v load.View) int {
+		do(g.Limits(f.now, v, model, settled))
+		return g.InFlight()
+	})
+}
+
+func (f *fleet) probe(n *node) {
+	for _, b := range f.servers {
+		g, ok := n.gates[b.name]
+		if !ok || b.row.Model == "" {
+			continue
+		}
+		r := amaranthtide.EngineReport{Boot: amaranthtide.BootID(fmt.Sprint("boot-", b.boot)), InFlight: len(b.inFlight), Capacity: fleetWarm}
+		asked := f.now
+		f.later(n, func() { g.Observe(f.now, asked, r) })
+	}
+}
+
+func (f *fleet) loads(n *node) []amaranthtide.ServerLoad {
+	var loads []amaranthtide.ServerLoad
+	for _, b := range f.servers {
+		if g, ok := n.gates[b.name]; ok {
+			loads = append(loads, g.Load(f.now))
+		}
+	}
+	return loads
+}
+
+func (f *fleet) sendReport(n *node) {
+	n.view.Tick(f.now, fleetStep)
+	n.sequence++
+	r := amaranthtide.Report{VM: n.name, Zone: n.zone, Incarnation: n.incarnation, Sequence: n.sequence, Revision: n.tab.Revision(),
+		View: n.view.Hash(f.now), Interval: fleetStep, Loads: f.loads(n)}
+	for _, peer := range f.nodes {
+		if peer != n && peer.zone == n.zone && peer.alive {
+			f.later(peer, func() { f.observe(peer, n, r) })
+		}
+	}
+}
+
+func (f *fleet) observe(n, from *node, r amaranthtide.Report) {
+	if !n.view.Observe(f.now, r) {
+		return
+	}
+	n.reports[r.VM], n.received[r.VM] = r, f.now
+	n.ledger.Apply(f.now.Add(-fleetDelay), r)
+	for _, l := range r.Loads {
+		if owner, ok := n.view.Owner(f.now, l.Server); !ok || owner == r.VM {
+			n.known[l.Server] = knownLoad{l, f.now}
+		}
+	}
+	if r.Revision > n.tab.Revision() && from.alive && !from.frozen {
+		changes, ok := from.tab.Changes(n.tab.Revision(), 256)
+		rows, revision := from.tab.Snapshot()
+		f.later(n, func() {
+			if !ok {
+				n.tab.Load(rows, revision)
+				return
+			}
+			n.tab.Apply(changes)
+		})
+	}
+}
+
+// contact polls the table and sends digests if the router is a contact of its zone.
+func (f *fleet) contact(n *node) {
+	if !slices.Contains(placement.Contacts(n.zone, n.view.Representatives(f.now)), n.name) || f.now.Sub(epoch)%time.Second != 0 {
+		return
+	}
+	if !f.table.outage {
+		page := spread.Poll(n.tab.Revision(), 0)
+		changes, _ := spread.Changes(f.table.list(page.Prefix, page.After, page.Limit))
+		f.push(n, changes)
+	}
+	digest := amaranthtide.Digest{Zone: n.zone, From: n.name, Sequence: uint64(n.incarnation)<<32 + n.sequence, Live: n.view.Live(f.now)}
+	sums := map[amaranthtide.BackendServerName]amaranthtide.ServerLoad{}
+	add := func(loads []amaranthtide.ServerLoad) {
+		for _, l := range loads {
+			s := sums[l.Server]
+			sums[l.Server] = amaranthtide.ServerLoad{Server: l.Server, InFlight: s.InFlight + l.InFlight, CompletionsPerSecond: s.CompletionsPerSecond + l.CompletionsPerSecond}
+		}
+	}
+	add(f.loads(n))
+	for vm, r := range n.reports {
+		if f.now.Sub(n.received[vm]) <= membership.Suspicion(r.Interval) {
+			add(r.Loads)
+		}
+	}
+	for _, l := range sums {
+		digest.Loads = append(digest.Loads, l)
+	}
+	for _, peer := range f.nodes {
+		if peer.zone != n.zone && peer.alive && f.reachable(n, peer) {
+			f.later(peer, func() {
+				peer.view.ObserveDigest(f.now, digest)
+				peer.ledger.ApplyDigest(f.now.Add(-fleetDelay), digest)
+				for _, l := range digest.Loads {
+					peer.known[l.Server] = knownLoad{l, f.now}
+				}
+			})
+		}
+	}
+}
+
+func (f *fleet) push(n *node, changes []amaranthtide.Change) {
+	if applied, _ := n.tab.Apply(changes); applied == 0 {
+		return
+	}
+	f.tableChanged(n)
+	for _, peer := range f.nodes {
+		if peer != n && peer.zone == n.zone && peer.alive {
+			f.later(peer, func() { peer.tab.Apply(changes) })
+		}
+	}
+}
+
+func (f *fleet) runEdit(o *operator) {
+	if o.done() {
+		return
+	}
+	o.advance(f.t, f.table, f.now)
+	if r, ok := o.step.Result.Get(); ok && r.Err == nil {
+		for _, c := range r.Changes {
+			f.accepted = append(f.accepted, acceptedChange{f.now, c})
+		}
+	}
+}
+
+// lead runs the lease and the orders of a router's zone.
+func (f *fleet) lead(n *node) {
+	r := f.table.call(f.t, n.lease.Issue(f.now, n.leaseStep))
+	n.leaseStep = n.lease.Next(f.now, r)
+	s := n.planner.Next(f.now, n.lease)
+	switch s.Do {
+	case order.Reserve:
+		n.planner.Reserved(f.now, s.Order.Server, 0, nil)
+	case order.Send:
+		if !n.planner.MaySend(f.now, n.lease, s.Order) {
+			n.planner.Ordered(f.now, s.Order.Server, amaranthtide.Errorf(amaranthtide.KindDeadlineUnmet, "late"))
+			return
+		}
+		took := time.Duration(f.random.Int64N(int64(fleetOrder)))
+		b := f.servers[slices.IndexFunc(f.servers, func(b *backend) bool { return b.name == s.Order.Server })]
+		b.orders = append(b.orders, sentFleetOrder{n, n.incarnation, s.Order, f.now.Add(took)})
+	}
+}
+
+// request begins a caller's request at an entry.
+func (f *fleet) request(n *node, key amaranthtide.IdempotencyKey) {
+	req := &amaranthtide.Request{ID: amaranthtide.RequestID(f.id("request")), Workspace: "w", Model: "m", Key: key, Cost: 1,
+		Chat: amaranthtide.ChatID(fmt.Sprint(f.random.IntN(20))), Deadline: f.now.Add(8 * time.Second), Body: []byte("body")}
+	if key != "" {
+		req.Model, req.Route = "", "pay"
+	}
+	fl := &flight{req: req, entry: n, incarnation: n.incarnation}
+	f.flights = append(f.flights, fl)
+	byZone := map[amaranthtide.ZoneName][]amaranthtide.Candidate{}
+	for _, b := range f.servers {
+		row, _ := n.tab.BackendServer(b.name)
+		if row.Model == req.Model && row.Route == req.Route {
+			k := n.known[b.name]
+			byZone[row.Zone] = append(byZone[row.Zone], amaranthtide.Candidate{Server: b.name, Zone: row.Zone, InFlight: k.load.InFlight, Limit: fleetWarm, LoadTime: k.at})
+		}
+	}
+	var zones []route.Zone
+	for _, z := range placement.New(placement.Key(req.Workspace, req.Chat)).Zones([]placement.Zone{{Name: "a", Capacity: 1}, {Name: "b", Capacity: 1}}) {
+		if _, ok := n.view.LiveIn(f.now, z.Name); ok {
+			zones = append(zones, route.Zone{Name: z.Name, Candidates: byZone[z.Name]})
+		}
+	}
+	fl.plan = route.New(route.Config{Request: req, Zones: zones, Policy: rendezvous.Policy{}, Retry: func() bool { return true },
+		InService: func(zone amaranthtide.ZoneName, server amaranthtide.BackendServerName) bool {
+			z, _ := n.tab.Zone(zone)
+			row, _ := n.tab.BackendServer(server)
+			return !z.OutOfService && !row.Leaving
+		}})
+}
+
+// drive runs the plan of a request at its entry.
+func (f *fleet) drive(n *node, fl *flight) {
+	if fl.waiting != "" {
+		if f.now.Sub(fl.since) > connectionLoss && fl.req.Repeatable() || f.now.Sub(fl.since) > 12*time.Second {
+			f.outcome(fl, fl.waiting, amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "connection lost"))
+		}
+		return
+	}
+	target, err := fl.plan.Next(f.now)
+	if err != nil {
+		fl.ended, fl.err = true, err
+		return
+	}
+	attempt := amaranthtide.AttemptID(f.id("attempt"))
+	fl.waiting, fl.since = attempt, f.now
+	vm, ok := n.view.Owner(f.now, target.Server)
+	if target.Zone != n.zone {
+		live, _ := n.view.LiveIn(f.now, target.Zone)
+		vm, ok = placement.Owner(target.Server, live)
+	}
+	i := slices.IndexFunc(f.nodes, func(o *node) bool { return o.name == vm })
+	if !ok || i < 0 || !f.nodes[i].alive || !f.reachable(n, f.nodes[i]) {
+		f.outcome(fl, attempt, amaranthtide.Errorf(amaranthtide.KindNoBackend, "no connection to an owner"))
+		return
+	}
+	b := f.servers[slices.IndexFunc(f.servers, func(b *backend) bool { return b.name == target.Server })]
+	req := *fl.req
+	req.Attempt, req.MayQueue = attempt, target.MayQueue
+	f.later(f.nodes[i], func() { f.accept(f.nodes[i], b, fl, &req) })
+}
+
+// outcome tells the entry how an attempt ended.
+func (f *fleet) outcome(fl *flight, attempt amaranthtide.AttemptID, err error) {
+	if fl.waiting != attempt || fl.ended {
+		return
+	}
+	fl.waiting = ""
+	if err == nil {
+		fl.ended = true
+		return
+	}
+	fl.plan.Refused(f.now, err, amaranthtide.None[amaranthtide.VMName]())
+}
+
+func (f *fleet) answer(from *node, fl *flight, attempt amaranthtide.AttemptID, err error) {
+	if fl.entry.alive && fl.entry.incarnation == fl.incarnation && f.reachable(from, fl.entry) {
+		f.later(fl.entry, func() { f.outcome(fl, attempt, err) })
+	}
+}
+
+// accept is the owner's side of a forward.
+func (f *fleet) accept(n *node, b *backend, fl *flight, req *amaranthtide.Request) {
+	if zone, _ := n.tab.Zone(n.zone); zone.OutOfService {
+		f.answer(n, fl, req.Attempt, amaranthtide.Errorf(amaranthtide.KindZoneOut, "out"))
+		return
+	}
+	f.tend(n, b)
+	g, ok := n.gates[b.name]
+	if !ok {
+		f.answer(n, fl, req.Attempt, amaranthtide.Errorf(amaranthtide.KindNotOwner, "not the owner"))
+		return
+	}
+	j := &job{flight: fl, attempt: req.Attempt, server: b}
+	if !req.Repeatable() {
+		j.claim = claim.New(claim.Config{Request: req, VM: n.name, Token: amaranthtide.Token(f.id("claim"))})
+	}
+	n.jobs = append(n.jobs, j)
+	ticket := admission.Ticket{Ticket: fairness.Ticket{Attempt: req.Attempt, Workspace: "w", Weight: 1, Cost: 1, Deadline: req.Deadline}, MayQueue: req.MayQueue}
+	f.decide(n, b, g, func(l admission.Limits) {
+		decision, err := g.Submit(f.now, ticket, l)
+		switch {
+		case err != nil:
+			f.refuse(n, req.Attempt, err)
+		case decision == admission.Admitted:
+			f.admit(n, b, req.Attempt)
+		}
+	})
+}
+
+func (f *fleet) refuse(n *node, attempt amaranthtide.AttemptID, err error) {
+	for _, j := range n.jobs {
+		if j.attempt == attempt && !j.done {
+			j.done = true
+			f.answer(n, j.flight, attempt, err)
+		}
+	}
+}
+
+// admit begins the work of an admitted request; keyed ones are claimed first.
+func (f *fleet) admit(n *node, b *backend, attempt amaranthtide.AttemptID) {
+	j := n.jobs[slices.IndexFunc(n.jobs, func(j *job) bool { return j.attempt == attempt })]
+	j.admitted, j.started = true, f.now
+	f.peaks[n] = max(f.peaks[n], n.sum())
+	if j.claim != nil {
+		j.step = j.claim.Start(f.now)
+		return
+	}
+	f.send(n, j)
+	f.checkAdmission(n, b)
+}
+
+func (f *fleet) send(n *node, j *job) {
+	j.sent, j.due = true, f.now.Add(time.Duration(200+f.random.IntN(2000))*time.Millisecond)
+	j.server.inFlight[j.attempt] = j
+	j.flight.sends++
+	f.starts++
+	f.checkStart(n, j)
+}
+
+// work runs one step of an admitted request.
+func (f *fleet) work(n *node, j *job) {
+	if !j.admitted || j.done {
+		return
+	}
+	if j.claim == nil {
+		if _, running := j.server.inFlight[j.attempt]; running {
+			return
+		}
+		var err error
+		if f.now.Before(j.due) {
+			err = amaranthtide.Errorf(amaranthtide.KindBackendFailed, "the engine went away")
+		}
+		f.finish(n, j, err == nil)
+		f.answer(n, j.flight, j.attempt, err)
+		return
+	}
+	var o claim.Outcome
+	switch j.step.Do {
+	case claim.Call:
+		o.Result = f.table.call(f.t, j.step.Call)
+	case claim.Send:
+		if !j.sent {
+			if !j.claim.MaySend(f.now) {
+				o.Refused = true
+				break
+			}
+			f.effects[j.flight.req.Key]++
+			f.send(n, j)
+			return
+		}
+		if _, running := j.server.inFlight[j.attempt]; running {
+			return
+		}
+		o.Answer = claim.Answer{Status: 200, Body: []byte(j.attempt)}
+		if f.now.Before(j.due) {
+			o = claim.Outcome{Err: amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "the service went away")}
+		}
+	}
+	j.step = j.claim.Next(f.now, o)
+	if reply, ok := j.step.Reply.Get(); ok {
+		f.answer(n, j.flight, j.attempt, reply.Err)
+		if g, ok := n.gates[j.server.name]; ok {
+			f.decide(n, j.server, g, func(admission.Limits) { g.Finish(f.now, j.attempt, admission.Outcome{Whole: reply.Err == nil}) })
+		}
+	}
+	j.done = j.step.Do == claim.End
+}
+
+func (f *fleet) finish(n *node, j *job, whole bool) {
+	j.done = true
+	if g, ok := n.gates[j.server.name]; ok {
+		f.decide(n, j.server, g, func(admission.Limits) {
+			g.Finish(f.now, j.attempt, admission.Outcome{Whole: whole, Tokens: 20, Took: f.now.Sub(j.started)})
+		})
+	}
+}
--- /dev/null
+++ b/coordination/fleet_test.go
@@ -0,0 +1,240 @@
+package coordination_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/mean"
+)
+
+const (
+	outBound   = 3 * time.Second // P3 and P7
+	tableBound = 4 * time.Second // P9
+	// calm is how long routers need after trouble until the views agree: suspicion
+	// time, grace, and what is held of earlier owners.
+	calm = 6 * time.Second
+	// windows are how far back a sum that counts in an estimate may lie: staleness
+	// and transit, in another zone also the age of the reports in a digest.
+	window     = mean.Staleness + 2*fleetDelay
+	zoneWindow = window + 2*time.Second
+)
+
+// checkStart checks a request that was just sent to a server (P3, P6, P7).
+func (f *fleet) checkStart(n *node, j *job) {
+	if key := j.flight.req.Key; key != "" && f.effects[key] > 1 {
+		f.t.Fatalf("P6: %s was sent %d times, the last by %s", key, f.effects[key], n.name)
+	}
+	for i, c := range f.accepted {
+		since := c.at
+		if f.trouble.After(since) {
+			since = f.trouble
+		}
+		if f.now.Sub(since) <= outBound || f.superseded(i) {
+			continue
+		}
+		if z, ok := c.change.After.(amaranthtide.Zone); ok && z.OutOfService && c.change.Key.Name == string(j.server.row.Zone) {
+			f.t.Fatalf("P3: %s got new work %v after its zone was taken out", j.server.name, f.now.Sub(c.at))
+		}
+		if s, ok := c.change.After.(amaranthtide.BackendServer); ok && s.Leaving && c.change.Key.Name == string(j.server.name) {
+			f.t.Fatalf("P7: leaving %s got new work after %v", j.server.name, f.now.Sub(c.at))
+		}
+	}
+}
+
+// superseded reports whether the row of an accepted change has changed since, also by
+// a change that no operator was told of.
+func (f *fleet) superseded(i int) bool {
+	c := f.accepted[i].change
+	for _, n := range f.nodes {
+		if n.alive {
+			if row, ok := n.tab.Row(c.Key); ok && row.Revision > c.Revision {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkAdmission checks the load of an engine after an admission (P1, P2).
+func (f *fleet) checkAdmission(n *node, b *backend) {
+	if !n.view.Settled(f.now, b.name) || f.now.Sub(f.trouble) < calm {
+		return
+	}
+	f.checked++
+	upper := 0
+	for _, other := range f.nodes {
+		back := zoneWindow
+		if other.zone == n.zone {
+			back = window
+		}
+		sums := f.sums[other]
+		sums = sums[max(0, len(sums)-int(back/fleetStep)):]
+		most := f.peaks[other]
+		for _, s := range sums {
+			most = max(most, s)
+		}
+		if other == n {
+			most = n.sum()
+		}
+		upper += most
+	}
+	servers := 0
+	for _, s := range f.servers {
+		row, _ := n.tab.BackendServer(s.name)
+		if z, _ := n.tab.Zone(row.Zone); row.Model == "m" && !row.Leaving && !z.OutOfService {
+			servers++
+		}
+	}
+	if most := mean.Cap(upper, servers, 0, 0); len(b.inFlight) > most {
+		f.t.Fatalf("P1: load of %s after an admission by %s got: %d, want: <= %d (total %d of %d servers)", b.name, n.name, len(b.inFlight), most, upper, servers)
+	}
+	// Before the boot is known, only the old allowance can hold.
+	known := n.gates[b.name].Load(f.now).Boot == amaranthtide.BootID(fmt.Sprint("boot-", b.boot))
+	if most := b.bears(f.now); known && len(b.inFlight) > most {
+		f.t.Fatalf("P2: load of %s after an admission by %s got: %d, want: <= %d", b.name, n.name, len(b.inFlight), most)
+	}
+}
+
+// check looks at what callers were told (P5) and at the tables (P9).
+func (f *fleet) check() {
+	for _, fl := range f.flights {
+		if fl.ended && fl.err != nil && amaranthtide.KindOf(fl.err).Reply().Ran == amaranthtide.RanNo && fl.sends > 0 {
+			f.t.Fatalf("P5: %s was told %v and was sent %d times", fl.req.ID, fl.err, fl.sends)
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.alive || n.frozen {
+			continue
+		}
+		if got := n.tab.Revision(); got < n.seen {
+			f.t.Fatalf("P9: revision of %s got: %d after %d", n.name, got, n.seen)
+		}
+		n.seen = n.tab.Revision()
+		for _, c := range f.accepted {
+			if f.now.Sub(c.at) > tableBound && f.now.Sub(f.trouble) > tableBound && n.seen < c.change.Revision {
+				f.t.Fatalf("P9: revision of %s got: %d, want: %d after %v", n.name, n.seen, c.change.Revision, f.now.Sub(c.at))
+			}
+		}
+	}
+}
+
+func (f *fleet) node(t *rapid.T) *node { return rapid.SampledFrom(f.nodes).Draw(t, "router") }
+
+// edit lets an operator change a zone or a server as some router knows it; operators race.
+func (f *fleet) edit(t *rapid.T) {
+	if len(f.edits) >= 10 {
+		return
+	}
+	n := f.node(t)
+	if !n.alive {
+		return
+	}
+	key := amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")}
+	if rapid.Bool().Draw(t, "server") {
+		key = amaranthtide.RowKey{Kind: amaranthtide.RowBackendServer, Name: string(rapid.SampledFrom(f.servers).Draw(t, "name").name)}
+	}
+	row, _ := n.tab.Row(key)
+	e := amaranthtide.Edit{Key: key, Expected: row.Revision}
+	switch v := row.Value.(type) {
+	case amaranthtide.Zone:
+		v.OutOfService = !v.OutOfService
+		e.Value = v
+	case amaranthtide.BackendServer:
+		if v.Model != "" && rapid.Bool().Draw(t, "version") {
+			v.Version += "x"
+		} else {
+			v.Leaving = !v.Leaving
+		}
+		e.Value = v
+	}
+	f.edits = append(f.edits, newOperator(len(f.edits)+1, []amaranthtide.Edit{e}, f.now, f.now.Add(10*time.Second)))
+}
+
+// Guards against failures that break a promise only together: routers that die,
+// freeze and start, zones that are cut off, platform outages and lost answers,
+// engines that turn cold and operators who race, under requests with and without
+// keys. Partitions inside a zone are left out; see docs/PROOFS.md.
+func TestFleet(t *testing.T) {
+	if checks := flag.Lookup("rapid.checks").Value; checks.String() == defaultChecks {
+		// A run takes ten times as long as those of the other tests.
+		if err := checks.Set("40"); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = checks.Set(defaultChecks) }()
+	}
+	starts, checked := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		run := func(t *rapid.T) {
+			for range rapid.IntRange(1, 20).Draw(t, "steps") {
+				f.advance()
+			}
+		}
+		calls := func(t *rapid.T) {
+			for range rapid.IntRange(1, 6).Draw(t, "requests") {
+				if n := f.node(t); n.alive && !n.frozen {
+					f.request(n, "")
+				}
+			}
+			f.advance()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"run1": run, "run2": run, "run3": run, "calls1": calls, "calls2": calls, "calls3": calls,
+			"pay": func(t *rapid.T) {
+				key := amaranthtide.IdempotencyKey(fmt.Sprint("key-", rapid.IntRange(0, 5).Draw(t, "key")))
+				for range 2 {
+					if n := f.node(t); n.alive && !n.frozen {
+						f.request(n, key)
+					}
+				}
+			},
+			"settle": func(t *rapid.T) { // lets the promises that need calm be checked
+				f.table.outage, f.zoneCut = false, false
+				for _, n := range f.nodes {
+					n.frozen = false
+					if !n.alive {
+						f.restart(n)
+					}
+				}
+				for i := range int(calm/fleetStep) + 20 {
+					if i%3 == 0 {
+						f.request(f.nodes[f.random.IntN(len(f.nodes))], "")
+					}
+					f.advance()
+				}
+			},
+			"kill": func(t *rapid.T) { f.kill(f.node(t)) },
+			"restart": func(t *rapid.T) {
+				if n := f.node(t); !n.alive {
+					f.restart(n)
+				}
+			},
+			"freeze": func(t *rapid.T) {
+				if n := f.node(t); n.alive {
+					n.frozen = true
+					run(t)
+					n.frozen = false
+				}
+			},
+			"freezeLong": func(t *rapid.T) { f.node(t).frozen = true },
+			"thaw":       func(t *rapid.T) { f.node(t).frozen = false },
+			"cut":        func(t *rapid.T) { f.zoneCut = !f.zoneCut },
+			"outage":     func(t *rapid.T) { f.table.outage = !f.table.outage },
+			"land":       f.table.land,
+			"edit":       f.edit,
+			"cold": func(t *rapid.T) {
+				b := rapid.SampledFrom(f.servers).Draw(t, "server")
+				b.boot++
+				b.booted = f.now
+				clear(b.inFlight)
+			},
+		})
+		starts, checked = starts+f.starts, checked+f.checked
+	})
+	t.Logf("%d starts, %d of them checked for P1 and P2", starts, checked)
+}
--- a/coordination/platform_test.go
+++ b/coordination/platform_test.go
@@ -24,8 +24,9 @@
 	rows    map[amaranthtide.StoredKey]amaranthtide.StoredRow
 	version amaranthtide.RowVersion
 	late    []amaranthtide.Transaction
-	// healed turns all faults off.
+	// healed turns all faults off, outage refuses every call.
 	healed    bool
+	outage    bool
 	committed func(amaranthtide.Transaction)
 }
 
@@ -62,6 +63,9 @@
 		fault = rapid.SampledFrom([]string{"none", "none", "none", "down", "lostBefore", "lostAfter", "late"}).Draw(t, "fault")
 	}
 	tx, isCommit := c.Transaction.Get()
+	if f.outage {
+		fault = "down"
+	}
 	if fault == "down" || fault != "none" && !isCommit {
 		return amaranthtide.TableResult{Err: amaranthtide.Errorf(amaranthtide.KindPlatformDown, "down")}
 	}
@@ -115,10 +119,13 @@
 	}
 }
 
+// defaultChecks is the number of runs without the flag rapid.checks.
+const defaultChecks = "400"
+
 // TestMain makes the runs longer than rapid's defaults of 100 checks and 30
 // steps, in which takeovers and repeats are rare. Flags on the command line win.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.checks": "400", "rapid.steps": "100"} {
+	for name, value := range map[string]string{"rapid.checks": defaultChecks, "rapid.steps": "100"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
