--- a/cmd/internal/scenario/load_test.go
+++ b/cmd/internal/scenario/load_test.go
@@ -194,7 +194,7 @@
 		case strings.Contains(answer, "event: error\n"):
 			l.note("errorEvent")
 		default:
-			l.note("cut")
+			l.fault("%s %d by %s ended in order without a terminal event or an error: %q", worker, n, r.id, content(answer))
 		}
 	}
 }
