--- a/cmd/internal/scenario/waitfor_test.go
+++ b/cmd/internal/scenario/waitfor_test.go
@@ -1,26 +1,15 @@
 package scenario
 
 import (
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// put URL FILE puts a file, for settings of stand-ins.
-func put(ts *testscript.TestScript, _ bool, args []string) {
-	req, err := http.NewRequest(http.MethodPut, args[0], strings.NewReader(ts.ReadFile(args[1])))
-	ts.Check(err)
-	if status, _, answer := send(ts, req); status >= http.StatusBadRequest {
-		ts.Fatalf("got status %d: %s", status, answer)
-	}
-}
-
 // waitfor PATTERN PROGRAM ARG... runs a program until its output matches.
 func waitfor(ts *testscript.TestScript, _ bool, args []string) {
 	pattern := regexp.MustCompile(args[0])
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -339,30 +339,15 @@
 // IsContact reports whether this router is a contact and reader of its zone, and
 // whether it is the first.
 func (c *Control) IsContact(now time.Time) (contact, first bool) {
-	i := slices.Index(placement.Contacts(c.opts.Zone, c.present(now)), c.opts.VM)
+	i := slices.Index(placement.Contacts(c.opts.Zone, c.representatives(now)), c.opts.VM)
 	return i >= 0, i == 0
 }
 
-// present returns the live routers of this zone. If none is in service, it returns
-// those that are heard of: a zone that is out of service still needs readers that
-// learn when it is back, and contacts through which it hears other zones.
-func (c *Control) present(now time.Time) []amaranthtide.VMName {
-	if live := c.Live(now); len(live) > 0 {
-		return live
-	}
-	var present []amaranthtide.VMName
+// representatives returns the routers that speak for this zone, in service or not.
+func (c *Control) representatives(now time.Time) []amaranthtide.VMName {
 	c.mu.Lock()
-	if !c.leaving {
-		present = append(present, c.opts.VM)
-	}
-	c.mu.Unlock()
-	for _, p := range c.roster.Peers() {
-		if !p.Report.Leaving && now.Sub(p.Received) <= membership.Suspicion(p.Report.Interval) {
-			present = append(present, p.Report.VM)
-		}
-	}
-	slices.Sort(present)
-	return present
+	defer c.mu.Unlock()
+	return c.view.Representatives(now)
 }
 
 // Awake reports whether this router takes part in its zone, see membership.View.
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -230,7 +230,7 @@
 	// a restarted router above those of its earlier run.
 	sequence := uint64(c.opts.Incarnation) + c.sequence
 	c.mu.Unlock()
-	live := c.present(now)
+	live := c.representatives(now)
 	digest := amaranthtide.Digest{
 		Zone:     c.opts.Zone,
 		From:     c.opts.VM,
