transport/owner: a returning chat waits shortly for its engine before it overflows

Cause: near the cap most engines are full at any moment, so that a returning chat overflowed although its engine frees a slot within a few hundred milliseconds. Change: a request whose chat the group served before is held at its engine for up to 300 ms, 50 ms per KiB of its body, before other engines may take it (delay scheduling).

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -330,10 +330,15 @@
 // Room reports whether a request may start now without overtaking others.
 func (g *Gate) Room(now time.Time, l Limits) bool { return g.queue.Len() == 0 && g.hasRoom(now, l) }
 
-// Take takes the next queued request out, to be submitted at another server that
-// has room.
+// Take takes the next queued request out, as Withdraw does.
 func (g *Gate) Take() (fairness.Ticket, bool) { return g.queue.Pop() }
 
+// Withdraw takes a queued request out, to be submitted at another server that has
+// room.
+func (g *Gate) Withdraw(attempt amaranthtide.AttemptID) (fairness.Ticket, bool) {
+	return g.queue.Remove(attempt)
+}
+
 // Finish frees the slot of a started request. It returns false, and changes
 // nothing, if the attempt is not running.
 func (g *Gate) Finish(now time.Time, attempt amaranthtide.AttemptID, o Outcome) bool {
--- a/transport/owner/admit.go
+++ b/transport/owner/admit.go
@@ -25,7 +25,13 @@
 // admit returns the server at which the request has got a slot: the given one, or
 // another of its group.
 func (o *Owner) admit(ctx context.Context, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request) (amaranthtide.BackendServerName, error) {
-	members := o.inOrder(req, member{server, row})
+	members, returning := o.inOrder(req, member{server, row})
+	if returning {
+		server, err := o.hold(ctx, members[0], req)
+		if server != "" || err != nil {
+			return server, err
+		}
+	}
 	var queueAt *member
 	var refusal error
 	for i, m := range members {
@@ -54,9 +60,50 @@
 	return o.wait(ctx, members, req, granted)
 }
 
+const (
+	// maxHold bounds how long a returning chat waits for its engine before it takes
+	// another one. It is well below the 1.3 s that the first token may take.
+	maxHold = 300 * time.Millisecond
+	// holdPerByte weighs the wait against the work that the cache saves: 1 KiB of
+	// prompt, about 256 tokens, is worth 50 ms.
+	holdPerByte = 50 * time.Microsecond
+)
+
+// hold gives a request whose chat was served by m before a slot there, if one gets
+// free within a short time. It returns neither a server nor an error if none does.
+func (o *Owner) hold(ctx context.Context, m member, req *amaranthtide.Request) (amaranthtide.BackendServerName, error) {
+	granted := make(chan grant, 1)
+	if err := o.submitTicket(m, ticketOf(req), granted, true); err != nil {
+		return "", nil // the other servers may be better off
+	}
+	timer := time.NewTimer(min(maxHold, time.Duration(len(req.Body))*holdPerByte))
+	defer timer.Stop()
+	select {
+	case g := <-granted:
+		return g.server, o.fatal(g.err)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if o.withdraw([]member{m}, req.Attempt) {
+		return "", nil
+	}
+	g := <-granted
+	return g.server, o.fatal(g.err)
+}
+
+// fatal returns err unless another server of the group may serve the request.
+func (o *Owner) fatal(err error) error {
+	switch amaranthtide.KindOf(err) {
+	case amaranthtide.KindFull, amaranthtide.KindLeaving, amaranthtide.KindNoBackend:
+		return nil
+	}
+	return err
+}
+
 // inOrder returns the servers of the group of first: the one that served the chat
-// last, then first, then the others in the order of the chat.
-func (o *Owner) inOrder(req *amaranthtide.Request, first member) []member {
+// last, then first, then the others in the order of the chat. It also tells whether
+// the chat was served in this group before.
+func (o *Owner) inOrder(req *amaranthtide.Request, first member) (ordered []member, returning bool) {
 	group := o.group(first)
 	candidates := make([]amaranthtide.Candidate, 0, len(group))
 	rows := make(map[amaranthtide.BackendServerName]amaranthtide.BackendServer, len(group))
@@ -66,17 +113,18 @@
 			rows[m.name] = m.row
 		}
 	}
-	ordered := []member{first}
+	ordered = []member{first}
 	last, known := o.recent.Get(placement.Key(req.Workspace, req.Chat))
 	if row, ok := rows[last]; known && ok {
 		ordered = []member{{last, row}, first}
 	}
+	returning = known && ordered[0].name == last && len(group) > 1
 	for _, c := range placement.New(placement.Key(req.Workspace, req.Chat)).Servers(candidates) {
 		if c.Server != ordered[0].name {
 			ordered = append(ordered, member{c.Server, rows[c.Server]})
 		}
 	}
-	return ordered
+	return ordered, returning
 }
 
 // group returns the servers of the group of m. A server of a plain service is alone.
@@ -101,22 +149,27 @@
 // channel gets the outcome unless submit returns an error; it gets it at once if
 // the request starts at once.
 func (o *Owner) submit(m member, req *amaranthtide.Request, granted chan grant) error {
-	return o.submitTicket(m, fairness.Ticket{
+	return o.submitTicket(m, ticketOf(req), granted, false)
+}
+
+func ticketOf(req *amaranthtide.Request) fairness.Ticket {
+	return fairness.Ticket{
 		Attempt:   req.Attempt,
 		Workspace: req.Workspace,
 		Class:     req.Class,
 		Weight:    req.Weight,
 		Cost:      req.Cost,
 		Deadline:  req.Deadline,
-	}, granted)
+	}
 }
 
-func (o *Owner) submitTicket(m member, t fairness.Ticket, granted chan grant) error {
+// submitTicket is submit for a ticket; a held request is not moved to other servers.
+func (o *Owner) submitTicket(m member, t fairness.Ticket, granted chan grant, held bool) error {
 	return o.decide(time.Now(), m.name, m.row, func(now time.Time, s *station, l admission.Limits) error {
 		decision, err := s.gate.Submit(now, admission.Ticket{Ticket: t, MayQueue: granted != nil}, l)
 		switch {
 		case decision == admission.Queued:
-			s.waiting[t.Attempt] = granted
+			s.waiting[t.Attempt] = waiter{granted, held}
 		case decision == admission.Admitted && granted != nil:
 			granted <- grant{server: m.name}
 		}
@@ -191,8 +244,8 @@
 	most := 0
 	for _, m := range group {
 		o.gates.With(m.name, func(s *station, ok bool) {
-			if ok && s.gate.Waiting() > most {
-				longest, most = m, s.gate.Waiting()
+			if ok && s.movable() > most {
+				longest, most = m, s.movable()
 			}
 		})
 	}
@@ -217,15 +270,51 @@
 	var ticket fairness.Ticket
 	var granted chan grant
 	o.update(time.Now(), from.name, func(_ time.Time, s *station) {
-		if t, ok := s.gate.Take(); ok {
-			ticket, granted = t, s.waiting[t.Attempt]
-			delete(s.waiting, t.Attempt)
-		}
+		ticket, granted = s.takeMovable()
 	})
 	if granted == nil {
 		return
 	}
-	if err := o.submitTicket(to, ticket, granted); err != nil {
+	if err := o.submitTicket(to, ticket, granted, false); err != nil {
 		granted <- grant{err: err}
 	}
 }
+
+// movable returns the number of waiting requests that may move to other servers.
+func (s *station) movable() int {
+	n := 0
+	for _, w := range s.waiting {
+		if !w.held {
+			n++
+		}
+	}
+	return n
+}
+
+// takeMovable takes a request that may move out of the queue: the one that is next
+// in fair order, or any other while held ones wait in between, which they do for
+// at most maxHold.
+func (s *station) takeMovable() (fairness.Ticket, chan grant) {
+	if s.movable() == len(s.waiting) {
+		t, ok := s.gate.Take()
+		if !ok {
+			return fairness.Ticket{}, nil
+		}
+		return s.forget(t)
+	}
+	for attempt, w := range s.waiting {
+		if w.held {
+			continue
+		}
+		if t, ok := s.gate.Withdraw(attempt); ok {
+			return s.forget(t)
+		}
+	}
+	return fairness.Ticket{}, nil
+}
+
+func (s *station) forget(t fairness.Ticket) (fairness.Ticket, chan grant) {
+	w := s.waiting[t.Attempt]
+	delete(s.waiting, t.Attempt)
+	return t, w.granted
+}
--- a/transport/owner/owner.go
+++ b/transport/owner/owner.go
@@ -96,12 +96,18 @@
 	wg      sync.WaitGroup
 }
 
+// waiter is a queued request. A held one waits for this server and no other.
+type waiter struct {
+	granted chan grant
+	held    bool
+}
+
 // station is a gate with the requests that wait at it.
 type station struct {
 	gate    *admission.Gate
 	model   amaranthtide.ModelName
 	config  admission.Config
-	waiting map[amaranthtide.AttemptID]chan grant
+	waiting map[amaranthtide.AttemptID]waiter
 	// downUntil is when a plain service that refused a connection is tried again.
 	downUntil time.Time
 	// refusedUntil is when a server that refused a request as leaving is tried again.
@@ -286,7 +292,7 @@
 		model:   row.Model,
 		group:   placement.Group(server, row, len(o.opts.Table.ServersOfModel(row.Model, row.Zone))),
 		config:  cfg,
-		waiting: make(map[amaranthtide.AttemptID]chan grant),
+		waiting: make(map[amaranthtide.AttemptID]waiter),
 	}
 	if l, ok := o.opts.Control.Resumable(now, server, o.opts.Resume); ok {
 		s.gate.Resume(now, l.Boot, l.Allowance)
@@ -328,8 +334,8 @@
 }
 
 func (s *station) resolve(attempt amaranthtide.AttemptID, g grant) {
-	if granted, ok := s.waiting[attempt]; ok {
+	if w, ok := s.waiting[attempt]; ok {
 		delete(s.waiting, attempt)
-		granted <- g
+		w.granted <- g
 	}
 }
