--- /dev/null
+++ b/transport/owner/owner_test.go
@@ -0,0 +1,183 @@
+package owner_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/state/load"
+	"amaranthtide/state/table"
+	"amaranthtide/transport/owner"
+)
+
+const patience = 5 * time.Second
+
+// settled is a Control under which this router owns everything.
+type settled struct{}
+
+func (settled) Owns(time.Time, amaranthtide.BackendServerName) (owns, settled bool) {
+	return true, true
+}
+
+func (settled) Resumable(time.Time, amaranthtide.BackendServerName, time.Duration) (amaranthtide.ServerLoad, bool) {
+	return amaranthtide.ServerLoad{}, false
+}
+
+func (settled) Leaving(amaranthtide.BackendServerName) bool { return false }
+
+// engines is a Backend whose requests run until they are told to end.
+type engines struct {
+	mu      sync.Mutex
+	running map[amaranthtide.ChatID]chan struct{}
+	started chan placed
+}
+
+type placed struct {
+	chat amaranthtide.ChatID
+	port uint16
+}
+
+func newEngines() *engines {
+	return &engines{running: make(map[amaranthtide.ChatID]chan struct{}), started: make(chan placed, 16)}
+}
+
+func (e *engines) Serve(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	end := make(chan struct{})
+	e.mu.Lock()
+	e.running[req.Chat] = end
+	e.mu.Unlock()
+	e.started <- placed{req.Chat, addr.Port()}
+	select {
+	case <-end:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return w.Head(amaranthtide.AnswerHead{Attempt: req.Attempt, Status: 200})
+}
+
+func (e *engines) end(chat amaranthtide.ChatID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.running[chat])
+}
+
+func (e *engines) wait(t *testing.T) placed {
+	t.Helper()
+	select {
+	case p := <-e.started:
+		return p
+	case <-time.After(patience):
+		t.Fatal("no request started")
+		return placed{}
+	}
+}
+
+type discard struct{}
+
+func (discard) Head(amaranthtide.AnswerHead) error { return nil }
+func (discard) Chunk([]byte) error                 { return nil }
+
+type fleet struct {
+	owner   *owner.Owner
+	engines *engines
+	wg      sync.WaitGroup
+}
+
+// newFleet returns an owner of two engines of one slot each, at the ports 1 and 2.
+func newFleet(t *testing.T) *fleet {
+	var rows []amaranthtide.Row
+	add := func(kind amaranthtide.RowKind, name string, v amaranthtide.RowValue) {
+		rows = append(rows, amaranthtide.Row{Key: amaranthtide.RowKey{Kind: kind, Name: name}, Revision: 1, Value: v})
+	}
+	add(amaranthtide.RowZone, "a", amaranthtide.Zone{})
+	add(amaranthtide.RowModel, "m", amaranthtide.Model{})
+	for i, name := range []string{"engine-1", "engine-2"} {
+		addr := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
+		add(amaranthtide.RowBackendServer, name, amaranthtide.BackendServer{Zone: "a", Model: "m", Address: addr, Capacity: 1, ColdLimit: 1})
+	}
+	tab := table.New()
+	tab.Load(rows, 1)
+	f := &fleet{engines: newEngines()}
+	f.owner = owner.New(owner.Options{
+		VM: "vm-1", Zone: "a", Table: tab, Ledger: load.New("vm-1"), Control: settled{},
+		Engines: f.engines, MaxQueue: 16,
+	})
+	t.Cleanup(f.owner.Close)
+	t.Cleanup(f.wg.Wait)
+	return f
+}
+
+func (f *fleet) send(ctx context.Context, server amaranthtide.BackendServerName, chat amaranthtide.ChatID, body int) <-chan error {
+	result := make(chan error, 1)
+	req := &amaranthtide.Request{
+		Attempt: amaranthtide.NewAttemptID(), Workspace: "w", Chat: chat, Model: "m", Class: amaranthtide.ClassStandard,
+		Weight: 1, Cost: 1, MayQueue: true, Deadline: time.Now().Add(patience), Body: make([]byte, body),
+	}
+	f.wg.Go(func() { result <- f.owner.Serve(ctx, server, req, discard{}) })
+	return result
+}
+
+// Guards against an engine that idles while a request waits for its neighbor.
+func TestWaitingRequestMovesToTheEngineWithRoom(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	first := f.send(t.Context(), "engine-1", "first", 0)
+	is.Equal(f.engines.wait(t).port, uint16(1))
+	second := f.send(t.Context(), "engine-1", "second", 0)
+	is.Equal(f.engines.wait(t).port, uint16(2)) // overflows to the engine with room
+	third := f.send(t.Context(), "engine-1", "third", 0)
+	time.Sleep(50 * time.Millisecond)
+	f.engines.end("second")
+	is.NoErr(<-second)
+	is.Equal(f.engines.wait(t), placed{"third", 2})
+	f.engines.end("first")
+	f.engines.end("third")
+	is.NoErr(<-first)
+	is.NoErr(<-third)
+}
+
+// Guards against a returning chat that loses its cache to an engine that happens to
+// have room while its own frees a slot a moment later.
+func TestReturningChatWaitsForItsEngine(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	chat := f.send(t.Context(), "engine-2", "chat", 0)
+	is.Equal(f.engines.wait(t).port, uint16(2))
+	f.engines.end("chat")
+	is.NoErr(<-chat)
+	other := f.send(t.Context(), "engine-2", "other", 0)
+	is.Equal(f.engines.wait(t).port, uint16(2))
+	chat = f.send(t.Context(), "engine-1", "chat", 64<<10)
+	time.Sleep(50 * time.Millisecond)
+	f.engines.end("other")
+	is.NoErr(<-other)
+	is.Equal(f.engines.wait(t), placed{"chat", 2})
+	f.engines.end("chat")
+	is.NoErr(<-chat)
+}
+
+// Guards against a slot that is lost when a caller goes away while it waits.
+func TestCanceledWaitLeavesNoTrace(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	a, b := f.send(t.Context(), "engine-1", "a", 0), f.send(t.Context(), "engine-2", "b", 0)
+	f.engines.wait(t)
+	f.engines.wait(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	waiting := f.send(ctx, "engine-1", "c", 0)
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	is.True(amaranthtide.IsKind(<-waiting, amaranthtide.KindCanceled))
+	f.engines.end("a")
+	f.engines.end("b")
+	is.NoErr(<-a)
+	is.NoErr(<-b)
+	for _, g := range f.owner.GroupLoads(time.Now()) {
+		is.Equal(g.InFlight+g.Waiting, 0)
+	}
+}
