--- a/cmd/amaranthtide/bench.go
+++ b/cmd/amaranthtide/bench.go
@@ -52,10 +52,10 @@
 }
 
 type benchResult struct {
-	Profile  string                `json:"profile"`
-	Duration amaranthtide.Duration `json:"duration"`
-	Seed     uint64                `json:"seed"`
-	Policies []benchRow            `json:"policies"`
+	Profile  string
+	Duration amaranthtide.Duration
+	Seed     uint64
+	Policies []benchRow
 }
 
 // baseline is a way to place requests. Only the fleet's own has caps and ramps.
@@ -104,7 +104,7 @@
 			}
 		}
 		if *asJSON {
-			return printJSON(s.out, result)
+			return printJSON(s.out, result.Policies)
 		}
 		return result.print(s.out)
 	}
--- a/transport/owner/admit.go
+++ b/transport/owner/admit.go
@@ -26,7 +26,7 @@
 // another of its group.
 func (o *Owner) admit(ctx context.Context, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request) (amaranthtide.BackendServerName, error) {
 	members, returning := o.inOrder(req, member{server, row})
-	if returning {
+	if returning && req.Class != amaranthtide.ClassQuick {
 		server, err := o.hold(ctx, members[0], req)
 		if server != "" || err != nil {
 			return server, err
@@ -63,10 +63,10 @@
 const (
 	// maxHold bounds how long a returning chat waits for its engine before it takes
 	// another one. It is well below the 1.3 s that the first token may take.
-	maxHold = 300 * time.Millisecond
+	maxHold = 600 * time.Millisecond
 	// holdPerByte weighs the wait against the work that the cache saves: 1 KiB of
-	// prompt, about 256 tokens, is worth 50 ms.
-	holdPerByte = 50 * time.Microsecond
+	// prompt, about 256 tokens, is worth 100 ms.
+	holdPerByte = 100 * time.Microsecond
 )
 
 // hold gives a request whose chat was served by m before a slot there, if one gets
