examples: settings of a router and a declared table

Cause: there was no file to start from, and the docs' fragments are checked by nothing. Change: examples/router.ini and examples/table, read by the tests of protocol/settings and protocol/declaration so that they fail if the format changes.

--- a/protocol/declaration/set_test.go
+++ b/protocol/declaration/set_test.go
@@ -130,3 +130,21 @@
 	is.Equal(got[1].Fields(), []declaration.FieldChange{{"outOfService", "", "true"}, {"region", "x", ""}})
 	is.Equal(got[2].Edit().Value, nil)
 }
+
+// Guards against an example declaration that the program no longer accepts or that
+// leaves out a kind of row.
+func TestExampleReads(t *testing.T) {
+	set, err := declaration.Read("../../examples/table")
+	if err != nil {
+		t.Fatal(err)
+	}
+	declared := amaranthtide.NewSet[amaranthtide.RowKind]()
+	for _, r := range set.Rows() {
+		declared.Add(r.Key.Kind)
+	}
+	for _, kind := range amaranthtide.RowKinds() {
+		if !declared.Has(kind) {
+			t.Errorf("got: no row of kind %s, want: at least one", kind)
+		}
+	}
+}
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -82,3 +82,13 @@
 	is.NoErr(err)
 	is.Equal(again, s)
 }
+
+// Guards against an example file that the program no longer accepts.
+func TestExampleLoads(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Load("../../examples/router.ini")
+	is.NoErr(err)
+	is.Equal(string(s.Router.VM), "entry-1")
+	is.Equal(len(s.Router.Seeds), 2)
+	is.Equal(len(s.Operators), 1)
+}
