protocol, transport/spread: remove unused functions

Cause: nothing calls frame.Codec.Buffered, declaration.Set.Declares and spread.Spreader.Polled, tests included. Change: removed, with the field that only Polled read; package comments of the policies plain and rendezvous say which of them routers use.

--- a/coordination/placement/plain/policy.go
+++ b/coordination/placement/plain/policy.go
@@ -1,5 +1,5 @@
-// Package plain holds a baseline for measurements: the rendezvous order of the
-// chat without any bound on the load.
+// Package plain holds the policy of the fleet: the rendezvous order of the chat
+// without regard to loads. The owner of a group overflows inside it.
 //
 // # Usage
 //
--- a/coordination/placement/rendezvous/policy.go
+++ b/coordination/placement/rendezvous/policy.go
@@ -1,4 +1,4 @@
-// Package rendezvous holds the policy of the fleet: the rendezvous order of the
+// Package rendezvous holds a policy that looks at loads: the rendezvous order of the
 // chat, with servers without known room behind those with room. A load older than
 // placement.MaxLoadAge is ignored, so that its server keeps its place.
 //
--- a/protocol/declaration/set.go
+++ b/protocol/declaration/set.go
@@ -59,9 +59,6 @@
 // Rows returns the declared rows. The slice is shared and must not be modified.
 func (s Set) Rows() []amaranthtide.Row { return s.rows }
 
-// Declares reports whether the set says which rows of a kind there are.
-func (s Set) Declares(kind amaranthtide.RowKind) bool { return s.kinds.Has(kind) }
-
 // Problem is one field of a declared row that is not allowed. Row is empty if the
 // file as a whole is bad.
 type Problem struct {
--- a/protocol/frame/codec.go
+++ b/protocol/frame/codec.go
@@ -97,9 +97,6 @@
 	return parse((*c.large)[lengthSize:]), nil
 }
 
-// Buffered reports whether bytes of a further frame have been read.
-func (c *Codec) Buffered() bool { return c.r.Buffered() > c.used }
-
 func (c *Codec) release() {
 	if c.used > 0 {
 		_, _ = c.r.Discard(c.used) // was peeked
--- a/transport/spread/spreader.go
+++ b/transport/spread/spreader.go
@@ -18,7 +18,6 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	watermill "github.com/ThreeDotsLabs/watermill/message"
@@ -73,9 +72,7 @@
 	once   sync.Once
 	// written is the revision of the last snapshot that this router wrote or saw.
 	written amaranthtide.Revision
-	// polled is when the platform last answered a poll, in Unix nanoseconds.
-	polled atomic.Int64
-	behind chan netip.AddrPort
+	behind  chan netip.AddrPort
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -132,15 +129,6 @@
 	}
 }
 
-// Polled returns when the platform last answered a poll of this router; zero if
-// it never did.
-func (s *Spreader) Polled() time.Time {
-	if n := s.polled.Load(); n != 0 {
-		return time.Unix(0, n)
-	}
-	return time.Time{}
-}
-
 // run loads the table and then polls the log while this router is a reader.
 func (s *Spreader) run() {
 	s.load()
@@ -168,7 +156,6 @@
 			s.opts.Logger.Debug("poll of the change log failed", "error", err)
 			return
 		}
-		s.polled.Store(time.Now().UnixNano())
 		changes, err := spread.Changes(rows)
 		if err != nil {
 			s.opts.Logger.Error("change log can't be read", "error", err)
