--- a/doc.go
+++ b/doc.go
@@ -29,8 +29,8 @@
 //	if err != nil {
 //		return err
 //	}
-//	defer r.Close() // waits for requests in flight
-//	return r.Run(ctx)
+//	<-ctx.Done()
+//	return r.Close() // waits for requests in flight
 //
 // The programs in cmd are thin daemons around that call.
 package amaranthtide
--- a/transport/entry/handler.go
+++ b/transport/entry/handler.go
@@ -56,6 +56,8 @@
 	MaxBodyBytes int
 	// Observe is called at the end of each request with its result; may be nil.
 	Observe func(req *amaranthtide.Request, took time.Duration, err error)
+	// FirstChunk is called when the first bytes of an answer have come; may be nil.
+	FirstChunk func(req *amaranthtide.Request, took time.Duration)
 }
 
 // Handler is the caller-facing HTTP handler. It is concurrent-safe.
@@ -75,6 +77,9 @@
 	if opts.Observe == nil {
 		opts.Observe = func(*amaranthtide.Request, time.Duration, error) {}
 	}
+	if opts.FirstChunk == nil {
+		opts.FirstChunk = func(*amaranthtide.Request, time.Duration) {}
+	}
 	h := &Handler{opts: opts, router: chi.NewRouter()}
 	h.router.Post("/v1/chat/completions", h.serveCompletion)
 	h.router.Get("/v1/models", h.serveModels)
@@ -285,7 +290,7 @@
 	ctx, cancel := h.requestContext(r, req)
 	defer cancel()
 	began := time.Now()
-	aw := newAnswerWriter(w, req)
+	aw := newAnswerWriter(w, req, func() { h.opts.FirstChunk(req, time.Since(began)) })
 	err := h.opts.Service.Serve(ctx, req, aw)
 	h.opts.Observe(req, time.Since(began), err)
 	if err == nil {
--- a/transport/entry/writer.go
+++ b/transport/entry/writer.go
@@ -20,13 +20,15 @@
 	req    *amaranthtide.Request
 	begun  bool
 	events bool
+	// first is called with the first chunk and then nil.
+	first func()
 	// deadline is the write deadline in force. It is renewed when half of it has
 	// passed, since setting it costs a system call's worth of work per chunk.
 	deadline time.Time
 }
 
-func newAnswerWriter(w http.ResponseWriter, req *amaranthtide.Request) *answerWriter {
-	return &answerWriter{w: w, rc: http.NewResponseController(w), req: req}
+func newAnswerWriter(w http.ResponseWriter, req *amaranthtide.Request, first func()) *answerWriter {
+	return &answerWriter{w: w, rc: http.NewResponseController(w), req: req, first: first}
 }
 
 // Head implements amaranthtide.AnswerWriter.
@@ -50,6 +52,10 @@
 // Chunk implements amaranthtide.AnswerWriter.
 func (a *answerWriter) Chunk(b []byte) error {
 	a.extendDeadline()
+	if a.first != nil {
+		a.first()
+		a.first = nil
+	}
 	if _, err := a.w.Write(b); err != nil {
 		return amaranthtide.Errorf(amaranthtide.KindCanceled, "write to the caller: %w", err)
 	}
--- a/transport/router/close.go
+++ b/transport/router/close.go
@@ -60,6 +60,9 @@
 	if r.orders != nil {
 		r.orders.Close()
 	}
+	if r.sweeper != nil {
+		r.sweeper.Close()
+	}
 	if r.prober != nil {
 		r.prober.Close()
 	}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -42,6 +42,7 @@
 	"amaranthtide/transport/probe"
 	"amaranthtide/transport/service"
 	"amaranthtide/transport/spread"
+	"amaranthtide/transport/sweep"
 )
 
 // Options are what a program adds to the settings. The zero value is usable.
@@ -86,6 +87,7 @@
 	dispatch *dispatch.Dispatcher
 	editor   *editor.Editor
 	prober   *probe.Prober
+	sweeper  *sweep.Sweeper
 	groups   *groups.Exchange
 	orders   *orders.Driver
 	meter    *metrics.Meter
@@ -235,6 +237,7 @@
 	r.editor = editor.New(editor.Options{Table: r.platform, Spread: r.spread})
 	r.prober = probe.New(probe.Options{Table: r.table, Owner: r.owner, Engines: r.engines, Interval: cfg.Control.ProbeInterval})
 	r.orders = r.newOrders()
+	r.sweeper = sweep.New(sweep.Options{Table: r.platform, Control: r.control, Logger: logger.Named("sweep")})
 	return nil
 }
 
@@ -282,6 +285,7 @@
 		Logger:       r.opts.Logger.Named("entry"),
 		MaxBodyBytes: r.cfg.Limits.MaxBodyBytes,
 		Observe:      r.meter.Request,
+		FirstChunk:   r.meter.FirstChunk,
 	})
 }
 
