transport/engine: hold smaller buffers per stream in flight

The heap profile of 800 routed streams less 800 direct ones shows bufio writers (8.0 MB) and readers (6.4 MB) of HTTP connections and the read buffers of the engine client (6.1 MB, 8 KiB for each stream) as the largest items; the rest of the 40 MB has no item above 1.8 MB. Five more goroutines per routed stream take about 37 KiB of stack.

Change: the engine client reads into 1 KiB instead of 8 KiB, and connections to backend servers read through 2 KiB and write through 1 KiB instead of 4 KiB each. Longer events still get a larger buffer while they pass.

BenchmarkStream was not run.

The buffers of net/http servers (4 KiB, 4 KiB and 2 KiB) can't be set.

--- a/transport/engine/stream.go
+++ b/transport/engine/stream.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// bufferBytes holds many events of a token each. Longer events get a larger
-	// buffer while they pass.
-	bufferBytes = 8 << 10
+	// bufferBytes holds a few events of a token each. Every stream in flight holds a
+	// buffer, so it is small. Longer events get a larger one while they pass.
+	bufferBytes = 1 << 10
 	// maxEvent bounds one event, which may have several lines.
 	maxEvent = 2 * completion.MaxLine
 	// drainTimeout bounds the wait for the end of the body after the terminal event,
--- a/transport/internal/httpclient/httpclient.go
+++ b/transport/internal/httpclient/httpclient.go
@@ -34,7 +34,10 @@
 	idleTimeout    = 4 * time.Second
 	idlePerHost    = 256
 	maxHeaderBytes = 64 << 10
-	bufferBytes    = 4 << 10
+	// Each connection holds both buffers as long as it is open, that is, for the whole
+	// of a stream. Reads and writes of larger pieces go past them.
+	readBufferBytes  = 2 << 10
+	writeBufferBytes = 1 << 10
 	// MaxBody bounds the body of a whole answer.
 	MaxBody = 4 << 20
 )
@@ -56,8 +59,8 @@
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         bufferBytes,
-		WriteBufferSize:        bufferBytes,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        writeBufferBytes,
 	}
 }
 
