--- /dev/null
+++ b/state/load/group_test.go
@@ -0,0 +1,49 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/state/load"
+)
+
+// Guards against a mean that forgets the engines of a silent owner, that believes
+// its load for too long, or that goes back to an older message.
+func TestGroupsInTheView(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	const gap = 25 * time.Millisecond
+	l := load.New("vm-1")
+	l.SetServers("m", []amaranthtide.BackendServerName{"e1", "e2"})
+	l.SetOwnGroups("m", amaranthtide.NewSet[amaranthtide.GroupName]("own"))
+	l.SetGroups("m", map[amaranthtide.GroupName]int{"own": 2, "other": 3})
+	view := func(at time.Time) (v load.View) {
+		l.Update(at, "m", "e1", func(seen load.View) int { v = seen; return 0 })
+		return v
+	}
+	is.Equal(view(now).Servers, 5) // nobody told of the other group: idle
+	is.Equal(len(view(now).Peers), 0)
+
+	tell := func(at time.Time, sequence uint64, inFlight int) {
+		l.ApplyGroup(at, amaranthtide.GroupLoad{
+			Group: "other", Model: "m", From: "vm-2", Sequence: sequence, Servers: 2, InFlight: inFlight, Gap: gap,
+		})
+	}
+	tell(now, 2, 7)
+	tell(now, 1, 9)
+	v := view(now.Add(300 * time.Millisecond))
+	is.Equal(v.Servers, 4) // the owner reaches two of the three
+	is.Equal(v.Peers[0].Sum.InFlight, 7)
+	age := now.Add(300 * time.Millisecond).Sub(v.Peers[0].Taken)
+	is.True(age >= gap && age < 2*gap) // silence means no change
+
+	age = now.Add(900 * time.Millisecond).Sub(view(now.Add(900 * time.Millisecond)).Peers[0].Taken)
+	is.True(age >= 900*time.Millisecond) // a silent owner may be gone
+
+	v = view(now.Add(load.GroupLife + time.Millisecond))
+	is.Equal(v.Servers, 5)
+	is.Equal(len(v.Peers), 0)
+}
--- a/transport/control/exchange.go
+++ b/transport/control/exchange.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	watermill "github.com/ThreeDotsLabs/watermill/message"
@@ -94,13 +93,7 @@
 	if len(to) == 0 {
 		return len(payload)
 	}
-	texts := make([]string, len(to))
-	for i, a := range to {
-		texts[i] = a.String()
-	}
-	msg := watermill.NewMessage("", payload)
-	msg.Metadata.Set(mesh.MetadataPeers, strings.Join(texts, ","))
-	if err := c.opts.Mesh.Publisher().Publish(topic, msg); err != nil {
+	if err := c.opts.Mesh.Publisher().Publish(topic, mesh.To(payload, to)); err != nil {
 		c.opts.Logger.Debug("publish control message", "topic", topic, "error", err)
 	}
 	return len(payload)
--- a/transport/groups/exchange.go
+++ b/transport/groups/exchange.go
@@ -18,7 +18,6 @@
 	"context"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -236,13 +235,7 @@
 		e.opts.Logger.Error("group load can't be encoded", "error", err)
 		return
 	}
-	texts := make([]string, len(to))
-	for i, a := range to {
-		texts[i] = a.String()
-	}
-	msg := watermill.NewMessage("", payload)
-	msg.Metadata.Set(mesh.MetadataPeers, strings.Join(texts, ","))
-	if err := e.opts.Mesh.Publisher().Publish(message.TopicGroupLoad, msg); err != nil {
+	if err := e.opts.Mesh.Publisher().Publish(message.TopicGroupLoad, mesh.To(payload, to)); err != nil {
 		e.opts.Logger.Debug("publish group load", "error", err)
 	}
 }
--- a/transport/mesh/publisher.go
+++ b/transport/mesh/publisher.go
@@ -22,6 +22,17 @@
 	MetadataSender = "sender"
 )
 
+// To returns a control message with the given payload for the given routers.
+func To(payload []byte, peers []netip.AddrPort) *watermill.Message {
+	texts := make([]string, len(peers))
+	for i, addr := range peers {
+		texts[i] = addr.String()
+	}
+	msg := watermill.NewMessage("", payload)
+	msg.Metadata.Set(MetadataPeers, strings.Join(texts, ","))
+	return msg
+}
+
 // SetPeers sets the routers that messages of a topic are published to.
 func (m *Mesh) SetPeers(topic string, peers []netip.AddrPort) {
 	m.peers.Set(topic, slices.Clone(peers))
--- a/transport/spread/spreader.go
+++ b/transport/spread/spreader.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -220,13 +219,7 @@
 		s.opts.Logger.Error("control message can't be encoded", "topic", topic, "error", err)
 		return
 	}
-	texts := make([]string, len(to))
-	for i, a := range to {
-		texts[i] = a.String()
-	}
-	msg := watermill.NewMessage("", payload)
-	msg.Metadata.Set(mesh.MetadataPeers, strings.Join(texts, ","))
-	if err := s.opts.Mesh.Publisher().Publish(topic, msg); err != nil {
+	if err := s.opts.Mesh.Publisher().Publish(topic, mesh.To(payload, to)); err != nil {
 		s.opts.Logger.Debug("publish control message", "topic", topic, "error", err)
 	}
 }
