--- a/cmd/internal/deployment/routers.go
+++ b/cmd/internal/deployment/routers.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/cmd/internal/port"
 	"amaranthtide/protocol/settings"
 	"amaranthtide/transport/router"
 )
@@ -33,16 +33,10 @@
 
 // placeRouter chooses the name and the address of a router without starting it.
 func (d *Deployment) placeRouter(zone amaranthtide.ZoneName) (*routerHost, error) {
-	// The port is free from here to the start. Another process may take it in
-	// between, which shows as an error of the start.
-	l, err := net.Listen("tcp", loopback.String())
+	addr, err := port.Free()
 	if err != nil {
 		return nil, err
 	}
-	addr := addrOf(l)
-	if err := l.Close(); err != nil {
-		return nil, err
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.named++
--- a/cmd/internal/scenario/scenario_test.go
+++ b/cmd/internal/scenario/scenario_test.go
@@ -8,12 +8,10 @@
 	"encoding/json"
 	"flag"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +20,7 @@
 	"amaranthtide"
 	"amaranthtide/cmd/internal/daemon"
 	"amaranthtide/cmd/internal/operator"
+	"amaranthtide/cmd/internal/port"
 	"amaranthtide/cmd/internal/standins"
 	"amaranthtide/standin/engine"
 	"amaranthtide/transport/editor"
@@ -75,31 +74,12 @@
 	})
 }
 
-// lastPort is the last port that ports gave out. They lie below those that systems
-// choose for outgoing connections, which would else take a port before its program
-// listens. The process number keeps test processes apart.
-var lastPort atomic.Int32
-
-const (
-	firstPort = 12_000
-	portRange = 18_000
-	portBlock = 500
-)
-
 // ports NAME... sets each variable to the address of a free loopback port.
 func ports(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		for {
-			n := (os.Getpid()*portBlock + int(lastPort.Add(1))) % portRange
-			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+n)).String()
-			l, err := net.Listen("tcp", addr)
-			if err != nil {
-				continue
-			}
-			ts.Check(l.Close())
-			ts.Setenv(name, addr)
-			break
-		}
+		addr, err := port.Free()
+		ts.Check(err)
+		ts.Setenv(name, addr.String())
 	}
 }
 
