--- a/transport/owner/admit.go
+++ b/transport/owner/admit.go
@@ -165,7 +165,7 @@
 
 // submitTicket is submit for a ticket; a held request is not moved to other servers.
 func (o *Owner) submitTicket(m member, t fairness.Ticket, granted chan grant, held bool) error {
-	return o.decide(time.Now(), m.name, m.row, func(now time.Time, s *station, l admission.Limits) error {
+	return o.decide(time.Now(), m.name, m.row, func(now time.Time, s *serverState, l admission.Limits) error {
 		decision, err := s.gate.Submit(now, admission.Ticket{Ticket: t, MayQueue: granted != nil}, l)
 		switch {
 		case decision == admission.Queued:
@@ -200,7 +200,7 @@
 func (o *Owner) withdraw(members []member, attempt amaranthtide.AttemptID) bool {
 	found := false
 	for _, m := range members {
-		o.update(time.Now(), m.name, func(now time.Time, s *station) {
+		o.update(time.Now(), m.name, func(now time.Time, s *serverState) {
 			if _, ok := s.waiting[attempt]; ok {
 				found = true
 				delete(s.waiting, attempt)
@@ -212,7 +212,7 @@
 }
 
 func (o *Owner) release(server amaranthtide.BackendServerName, attempt amaranthtide.AttemptID) {
-	o.update(time.Now(), server, func(now time.Time, s *station) { s.gate.Cancel(now, attempt) })
+	o.update(time.Now(), server, func(now time.Time, s *serverState) { s.gate.Cancel(now, attempt) })
 	o.notify()
 }
 
@@ -243,7 +243,7 @@
 	var longest member
 	most := 0
 	for _, m := range group {
-		o.gates.With(m.name, func(s *station, ok bool) {
+		o.servers.With(m.name, func(s *serverState, ok bool) {
 			if ok && s.movable() > most {
 				longest, most = m, s.movable()
 			}
@@ -255,7 +255,7 @@
 func (o *Owner) withRoom(now time.Time, group []member) (member, bool) {
 	for _, m := range group {
 		room := false
-		_ = o.decide(now, m.name, m.row, func(now time.Time, s *station, l admission.Limits) error {
+		_ = o.decide(now, m.name, m.row, func(now time.Time, s *serverState, l admission.Limits) error {
 			room = s.gate.Room(now, l)
 			return nil
 		})
@@ -269,7 +269,7 @@
 func (o *Owner) move(from, to member) {
 	var ticket fairness.Ticket
 	var granted chan grant
-	o.update(time.Now(), from.name, func(_ time.Time, s *station) {
+	o.update(time.Now(), from.name, func(_ time.Time, s *serverState) {
 		ticket, granted = s.takeMovable()
 	})
 	if granted == nil {
@@ -281,7 +281,7 @@
 }
 
 // movable returns the number of waiting requests that may move to other servers.
-func (s *station) movable() int {
+func (s *serverState) movable() int {
 	n := 0
 	for _, w := range s.waiting {
 		if !w.held {
@@ -294,7 +294,7 @@
 // takeMovable takes a request that may move out of the queue: the one that is next
 // in fair order, or any other while held ones wait in between, which they do for
 // at most maxHold.
-func (s *station) takeMovable() (fairness.Ticket, chan grant) {
+func (s *serverState) takeMovable() (fairness.Ticket, chan grant) {
 	if s.movable() == len(s.waiting) {
 		t, ok := s.gate.Take()
 		if !ok {
@@ -313,7 +313,7 @@
 	return fairness.Ticket{}, nil
 }
 
-func (s *station) forget(t fairness.Ticket) (fairness.Ticket, chan grant) {
+func (s *serverState) forget(t fairness.Ticket) (fairness.Ticket, chan grant) {
 	w := s.waiting[t.Attempt]
 	delete(s.waiting, t.Attempt)
 	return t, w.granted
--- a/transport/owner/loop.go
+++ b/transport/owner/loop.go
@@ -43,7 +43,7 @@
 // still wait.
 func (o *Owner) sweep(now time.Time) bool {
 	var waiting []amaranthtide.BackendServerName
-	o.gates.Range(func(server amaranthtide.BackendServerName, s *station) bool {
+	o.servers.Range(func(server amaranthtide.BackendServerName, s *serverState) bool {
 		if s.gate.Waiting() > 0 {
 			waiting = append(waiting, server)
 		}
@@ -51,7 +51,7 @@
 	})
 	left := false
 	for _, server := range waiting {
-		o.update(now, server, func(_ time.Time, s *station) { left = left || s.gate.Waiting() > 0 })
+		o.update(now, server, func(_ time.Time, s *serverState) { left = left || s.gate.Waiting() > 0 })
 		if row, ok := o.opts.Table.BackendServer(server); ok {
 			o.rebalance(now, member{server, row})
 		}
@@ -61,13 +61,13 @@
 
 // update runs f at a server that has a gate, after starting what may start. It
 // reports whether there is one.
-func (o *Owner) update(now time.Time, server amaranthtide.BackendServerName, f func(now time.Time, s *station)) bool {
+func (o *Owner) update(now time.Time, server amaranthtide.BackendServerName, f func(now time.Time, s *serverState)) bool {
 	row, inTable := o.opts.Table.BackendServer(server)
 	owns, settled := o.opts.Control.Owns(now, server)
 	owns = owns && inTable
 	found, turned := false, false
 	var served amaranthtide.ModelName
-	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
+	o.servers.Update(server, func(s *serverState, ok bool) (*serverState, bool) {
 		if !ok {
 			return nil, false
 		}
@@ -98,7 +98,7 @@
 // Loads returns the loads of the servers that this router owns or still works for.
 func (o *Owner) Loads(now time.Time) []amaranthtide.ServerLoad {
 	var loads []amaranthtide.ServerLoad
-	o.gates.Range(func(_ amaranthtide.BackendServerName, s *station) bool {
+	o.servers.Range(func(_ amaranthtide.BackendServerName, s *serverState) bool {
 		loads = append(loads, s.gate.Load(now))
 		return true
 	})
@@ -123,7 +123,7 @@
 	for _, l := range o.Loads(now) {
 		st := Status{Load: l, Limit: l.Allowance}
 		st.Owned, st.Settled = o.opts.Control.Owns(now, l.Server)
-		o.gates.With(l.Server, func(s *station, ok bool) {
+		o.servers.With(l.Server, func(s *serverState, ok bool) {
 			if ok {
 				st.Waiting, st.Down, st.Leaving = s.gate.Waiting(), s.gate.Down(), s.gate.Leaving()
 			}
@@ -147,25 +147,25 @@
 		if owns, _ := o.opts.Control.Owns(now, server); !owns {
 			continue
 		}
-		_ = o.decide(now, server, value, func(time.Time, *station, admission.Limits) error { return nil })
+		_ = o.decide(now, server, value, func(time.Time, *serverState, admission.Limits) error { return nil })
 		if value.Model != "" {
 			probed = append(probed, server)
 		}
 	}
 	var held []amaranthtide.BackendServerName
-	o.gates.Range(func(server amaranthtide.BackendServerName, _ *station) bool {
+	o.servers.Range(func(server amaranthtide.BackendServerName, _ *serverState) bool {
 		held = append(held, server)
 		return true
 	})
 	for _, server := range held {
-		o.update(now, server, func(time.Time, *station) {})
+		o.update(now, server, func(time.Time, *serverState) {})
 	}
 	return probed
 }
 
 // Probed takes in the outcome of a load probe that was sent at the time asked.
 func (o *Owner) Probed(asked time.Time, server amaranthtide.BackendServerName, r amaranthtide.EngineReport, err error) {
-	o.update(time.Now(), server, func(now time.Time, s *station) {
+	o.update(time.Now(), server, func(now time.Time, s *serverState) {
 		if err != nil {
 			s.setDown(true)
 			return
--- a/transport/owner/owner.go
+++ b/transport/owner/owner.go
@@ -83,8 +83,8 @@
 
 // Owner implements amaranthtide.Owner. It is concurrent-safe.
 type Owner struct {
-	opts  Options
-	gates *shard.Map[amaranthtide.BackendServerName, *station]
+	opts    Options
+	servers *shard.Map[amaranthtide.BackendServerName, *serverState]
 	// recent holds the engines that have the caches of chats.
 	recent *recent.Placements
 
@@ -102,8 +102,8 @@
 	held    bool
 }
 
-// station is a gate with the requests that wait at it.
-type station struct {
+// serverState is what an Owner holds of one server: its gate and the requests that wait at it.
+type serverState struct {
 	gate    *admission.Gate
 	model   amaranthtide.ModelName
 	config  admission.Config
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
 		opts:    opts,
-		gates:   shard.New[amaranthtide.BackendServerName, *station](),
+		servers: shard.New[amaranthtide.BackendServerName, *serverState](),
 		recent:  recent.New(maxRecent),
 		ctx:     ctx,
 		cancel:  cancel,
@@ -172,15 +172,15 @@
 }
 
 // decide runs f and then starts what may start, under the locks of the server.
-func (o *Owner) decide(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, f func(now time.Time, s *station, l admission.Limits) error) error {
+func (o *Owner) decide(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, f func(now time.Time, s *serverState, l admission.Limits) error) error {
 	owns, settled := o.opts.Control.Owns(now, server)
 	model, _ := o.opts.Table.Model(row.Model)
 	o.ensure(now, server, row, owns)
 	var err error
 	turned := false
-	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
+	o.servers.Update(server, func(s *serverState, ok bool) (*serverState, bool) {
 		if !ok {
-			s = o.newStation(now, server, row)
+			s = o.newServerState(now, server, row)
 		}
 		leaving := o.leaving(now, s, server, row)
 		s.gate.SetOwned(now, owns)
@@ -200,15 +200,15 @@
 	return err
 }
 
-// ensure makes the station of a server, and counts the server in the mean of its
+// ensure makes the state of a server, and counts the server in the mean of its
 // model before the first decision about it.
 func (o *Owner) ensure(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer, owns bool) {
-	if _, ok := o.gates.Get(server); ok {
+	if _, ok := o.servers.Get(server); ok {
 		return
 	}
-	o.gates.Update(server, func(s *station, ok bool) (*station, bool) {
+	o.servers.Update(server, func(s *serverState, ok bool) (*serverState, bool) {
 		if !ok {
-			s = o.newStation(now, server, row)
+			s = o.newServerState(now, server, row)
 			s.up = owns
 		}
 		return s, true
@@ -217,7 +217,7 @@
 }
 
 // turn notes whether the server counts in the mean and reports whether that changed.
-func (s *station) turn(inService bool) bool {
+func (s *serverState) turn(inService bool) bool {
 	up := inService && !s.down
 	changed := up != s.up
 	s.up = up
@@ -231,7 +231,7 @@
 	}
 	var servers []amaranthtide.BackendServerName
 	groups := amaranthtide.NewSet[amaranthtide.GroupName]()
-	o.gates.Range(func(name amaranthtide.BackendServerName, s *station) bool {
+	o.servers.Range(func(name amaranthtide.BackendServerName, s *serverState) bool {
 		if s.model == model && s.up {
 			servers = append(servers, name)
 			groups.Add(s.group)
@@ -255,7 +255,7 @@
 // GroupLoads returns the loads of the groups of engines that this router owns.
 func (o *Owner) GroupLoads(now time.Time) []amaranthtide.GroupLoad {
 	groups := make(map[amaranthtide.GroupName]*amaranthtide.GroupLoad)
-	o.gates.Range(func(_ amaranthtide.BackendServerName, s *station) bool {
+	o.servers.Range(func(_ amaranthtide.BackendServerName, s *serverState) bool {
 		if s.model == "" || !s.up {
 			return true
 		}
@@ -278,16 +278,16 @@
 	return loads
 }
 
-func (o *Owner) limits(now time.Time, s *station, v load.View, model amaranthtide.Model, settled bool) admission.Limits {
+func (o *Owner) limits(now time.Time, s *serverState, v load.View, model amaranthtide.Model, settled bool) admission.Limits {
 	if o.opts.Unbounded {
 		return admission.Limits{Settled: true}
 	}
 	return s.gate.Limits(now, v, model, settled)
 }
 
-func (o *Owner) newStation(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer) *station {
+func (o *Owner) newServerState(now time.Time, server amaranthtide.BackendServerName, row amaranthtide.BackendServer) *serverState {
 	cfg := o.gateConfig(server, row)
-	s := &station{
+	s := &serverState{
 		gate:    admission.New(now, cfg),
 		model:   row.Model,
 		group:   placement.Group(server, row, len(o.opts.Table.ServersOfModel(row.Model, row.Zone))),
@@ -300,7 +300,7 @@
 	return s
 }
 
-func (o *Owner) leaving(now time.Time, s *station, server amaranthtide.BackendServerName, row amaranthtide.BackendServer) bool {
+func (o *Owner) leaving(now time.Time, s *serverState, server amaranthtide.BackendServerName, row amaranthtide.BackendServer) bool {
 	return row.Leaving || o.opts.Control.Leaving(server) || now.Before(s.refusedUntil)
 }
 
@@ -323,7 +323,7 @@
 }
 
 // startNext hands the slots that are free to the requests that wait.
-func (s *station) startNext(now time.Time, l admission.Limits) {
+func (s *serverState) startNext(now time.Time, l admission.Limits) {
 	started, refused := s.gate.Next(now, l)
 	for _, t := range started {
 		s.resolve(t.Attempt, grant{server: s.config.Server})
@@ -333,7 +333,7 @@
 	}
 }
 
-func (s *station) resolve(attempt amaranthtide.AttemptID, g grant) {
+func (s *serverState) resolve(attempt amaranthtide.AttemptID, g grant) {
 	if w, ok := s.waiting[attempt]; ok {
 		delete(s.waiting, attempt)
 		w.granted <- g
--- a/transport/owner/send.go
+++ b/transport/owner/send.go
@@ -52,7 +52,7 @@
 
 // finish frees the slot of a request and starts what may start.
 func (o *Owner) finish(server amaranthtide.BackendServerName, row amaranthtide.BackendServer, req *amaranthtide.Request, outcome admission.Outcome, err error) {
-	_ = o.decide(time.Now(), server, row, func(now time.Time, s *station, _ admission.Limits) error {
+	_ = o.decide(time.Now(), server, row, func(now time.Time, s *serverState, _ admission.Limits) error {
 		s.gate.Finish(now, req.Attempt, outcome)
 		switch amaranthtide.KindOf(err) {
 		case amaranthtide.KindNoBackend:
@@ -69,7 +69,7 @@
 }
 
 // setDown notes whether the server is out of reach.
-func (s *station) setDown(down bool) {
+func (s *serverState) setDown(down bool) {
 	s.down = down
 	s.gate.SetDown(down)
 }
