transport/mesh: wait for the stated backoff in TestCutsGiveTheRightKind

Cause: the test failed once, in a fresh clone beside a fuzz run ('handshake: cut, want: a new connection after a cut'; rapid could not reproduce it). It waited 100 times 2 ms for a new connection, but the wait between dials doubles with each cut dial up to Options.BackoffMax, 2 s, and calls in between fail at once with the last error. Change: the wait is BackoffMax and one second, the stated bound; what must hold of the outcomes is unchanged. Conclusion: the old bound was shorter than what the option promises.

--- a/transport/mesh/forward_test.go
+++ b/transport/mesh/forward_test.go
@@ -238,7 +238,10 @@
 		}
 		dialer.written.Store(-1)
 		dialer.read.Store(-1)
-		for range 100 {
+		// The next dial comes after the backoff in force, which has doubled with each
+		// dial that was cut, up to the default of Options.BackoffMax.
+		const backoffMax = 2 * time.Second
+		for until := time.Now().Add(backoffMax + time.Second); time.Now().Before(until); {
 			if err = entry.Forward(context.Background(), owner.Addr(), "engine", func() *amaranthtide.Request {
 				r := newRequest("", []byte("again"))
 				r.Chat = "\x01"
