transport/mesh: TestShutdownCutsNothing waits for streams before it shuts down

The answers themselves were right. Change: it waits until one answer is whole, while 16 callers go on; what must hold is unchanged and is now always checked under load. Conclusion: the sleep was a guess at the machine.

--- a/transport/mesh/mesh_test.go
+++ b/transport/mesh/mesh_test.go
@@ -255,7 +255,13 @@
 			}
 		}()
 	}
-	time.Sleep(100 * time.Millisecond)
+	// The shutdown must meet streams in flight, however slow the machine is.
+	for flowing := false; !flowing; time.Sleep(time.Millisecond) {
+		is.NoErr(ctx.Err())
+		mu.Lock()
+		flowing = whole > 0
+		mu.Unlock()
+	}
 	is.NoErr(owner.Shutdown(ctx))
 	is.NoErr(owner.Close())
 	wg.Wait()
