transport/control, transport/owner: one filter of the platform's list

Cause: read once more, the rule that entries of backend servers are no routers stood in List and in TableChanged; a server's state kept a whole gate configuration for its name. Change: listedRouters serves both; the state keeps the name.

--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -204,18 +204,26 @@
 // whether the server leaves.
 func (c *Control) List(now time.Time, vms []amaranthtide.ListedVM) {
 	listed := make(map[amaranthtide.VMName]amaranthtide.ListedVM, len(vms))
-	var routers []amaranthtide.ListedVM
 	for _, vm := range vms {
 		listed[vm.Name] = vm
-		if _, isServer := c.opts.Table.BackendServer(amaranthtide.BackendServerName(vm.Name)); !isServer {
-			routers = append(routers, vm)
-		}
 	}
 	declared := c.declared()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listed = listed
-	c.view.List(now, withDeclared(routers, declared))
+	c.view.List(now, withDeclared(c.listedRouters(), declared))
+}
+
+// listedRouters returns the entries of the platform's list that are no backend
+// servers. The caller holds mu.
+func (c *Control) listedRouters() []amaranthtide.ListedVM {
+	var routers []amaranthtide.ListedVM
+	for _, vm := range c.listed {
+		if _, isServer := c.opts.Table.BackendServer(amaranthtide.BackendServerName(vm.Name)); !isServer {
+			routers = append(routers, vm)
+		}
+	}
+	return routers
 }
 
 // declared returns the routers that the table declares.
@@ -262,13 +270,7 @@
 	declared := c.declared()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var listed []amaranthtide.ListedVM
-	for _, vm := range c.listed {
-		if _, isServer := c.opts.Table.BackendServer(amaranthtide.BackendServerName(vm.Name)); !isServer {
-			listed = append(listed, vm)
-		}
-	}
-	c.view.List(now, withDeclared(listed, declared))
+	c.view.List(now, withDeclared(c.listedRouters(), declared))
 	c.view.SetOutOfService(now, revision, out, zone.OutOfService)
 }
 
--- a/transport/owner/owner.go
+++ b/transport/owner/owner.go
@@ -106,7 +106,7 @@
 type serverState struct {
 	gate    *admission.Gate
 	model   amaranthtide.ModelName
-	config  admission.Config
+	name    amaranthtide.BackendServerName
 	waiting map[amaranthtide.AttemptID]waiter
 	// downUntil is when a plain service that refused a connection is tried again.
 	downUntil time.Time
@@ -291,7 +291,7 @@
 		gate:    admission.New(now, cfg),
 		model:   row.Model,
 		group:   placement.Group(server, row, len(o.opts.Table.ServersOfModel(row.Model, row.Zone))),
-		config:  cfg,
+		name:    server,
 		waiting: make(map[amaranthtide.AttemptID]waiter),
 	}
 	if l, ok := o.opts.Control.Resumable(now, server, o.opts.Resume); ok {
@@ -326,7 +326,7 @@
 func (s *serverState) startNext(now time.Time, l admission.Limits) {
 	started, refused := s.gate.Next(now, l)
 	for _, t := range started {
-		s.resolve(t.Attempt, grant{server: s.config.Server})
+		s.resolve(t.Attempt, grant{server: s.name})
 	}
 	for _, r := range refused {
 		s.resolve(r.Ticket.Attempt, grant{err: r.Err})
