platform, transport/gateway: serve the users' platform from the entry router

Cause: the new machines speak their own protocol and none is set aside for control. The product lacked declared routes, a feed of the platform, limits that hold without an owner, and HTTP connections that never repeat a request.

Change: transport/gateway assembles a router from state/declared, state/feed, state/servers, state/traffic, coordination/registration, choice, coldrate and outlier, and transport/follow, peers, direct and upstream. platform/ translates headers, rows, documents and settings; cmd/amaranthtidegw is the daemon.

--- /dev/null
+++ b/cmd/amaranthtidegw/main.go
@@ -0,0 +1,75 @@
+// Command amaranthtidegw runs one router of the fleet on the users' platform.
+//
+// # Usage
+//
+//	amaranthtidegw [--settings FILE] [--check]
+//
+// The settings come from FILE, or from the file that the platform has placed. With
+// --check the program checks them and ends. It ends with status 2 if a setting is
+// not allowed and with status 1 if the router can't run. SIGTERM and SIGINT start a
+// graceful shutdown.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide/platform"
+	"amaranthtide/transport/gateway"
+)
+
+const (
+	statusFailed      = 1
+	statusBadSettings = 2
+	// collectPercent is the growth of the heap between collections. Memory is dearer
+	// on small VMs than the processor time of more frequent collections.
+	collectPercent = 40
+	// memoryShare is the part of the allowed memory from which the heap is collected
+	// more often.
+	memoryShare = 0.7
+)
+
+func main() {
+	app := kingpin.New("amaranthtidegw", "Routes requests on the users' platform.")
+	file := app.Flag("settings", "Settings file (INI).").Default(platform.SettingsPath()).String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	cfg, err := platform.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(statusBadSettings)
+	}
+	if *check {
+		return
+	}
+	logger := hclog.New(&hclog.LoggerOptions{Name: "amaranthtide", Level: cfg.LogLevel, JSONFormat: true, Output: os.Stdout})
+	if err := run(cfg, logger); err != nil {
+		logger.Error("router failed", "error", err)
+		os.Exit(statusFailed)
+	}
+}
+
+func run(cfg platform.Settings, logger hclog.Logger) error {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMegabytes) * (1 << 20)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	opts, closeClients := platform.Options(cfg, logger)
+	defer closeClients()
+	g, err := gateway.New(opts)
+	if err != nil {
+		return err
+	}
+	logger.Info("router started", "vm", cfg.VM, "zone", cfg.Zone, "callers", cfg.Callers, "listen", cfg.Listen)
+	<-ctx.Done()
+	stop()
+	return g.Close()
+}
--- /dev/null
+++ b/coordination/choice/choice.go
@@ -0,0 +1,116 @@
+// Package choice picks the backend server of a request from what one router knows.
+//
+// Model engines keep prompts in memory, so a chat goes to the first engine of its
+// rendezvous order whose load is under a cap: a multiple of the mean load of the
+// service. A chat that gets more traffic than one engine may carry overflows along
+// the same order on all routers. Servers of plain services hold nothing, so the one
+// with the smallest load goes first, with those of the own zone before others of the
+// same load.
+//
+// # Usage
+//
+//	best, ok := choice.Engine(chat, candidates, choice.Cap{Multiple: 1.5, Extra: 2})
+//	best, ok := choice.Plain(zone, draw, candidates)
+package choice
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+)
+
+// Candidate is a server that may get the request and what is known of it.
+type Candidate struct {
+	Instance amaranthtide.Instance
+	// Load is the number of requests that all routers have there.
+	Load int
+	// Avoid marks a server that failed or could not be reached lately.
+	Avoid bool
+}
+
+// Cap bounds the load of an engine after an admission: Multiple times the mean load
+// of the candidates plus Extra.
+type Cap struct {
+	Multiple float64
+	Extra    float64
+}
+
+// Engine returns the index of the engine for a chat, and false if there is none.
+// The first engine of the chat's order under the cap wins; if all are above it, the
+// one with the smallest load does.
+func Engine(chat amaranthtide.ChatID, candidates []Candidate, limit Cap) (int, bool) {
+	usable := preferred(candidates)
+	if len(usable) == 0 {
+		return 0, false
+	}
+	most := limit.of(candidates, usable)
+	for _, i := range ranked(chat, candidates, usable) {
+		if float64(candidates[i].Load+1) <= most {
+			return i, true
+		}
+	}
+	return least(candidates, usable, func(i int) int { return candidates[i].Load }), true
+}
+
+// of returns the cap over the usable candidates.
+func (c Cap) of(candidates []Candidate, usable []int) float64 {
+	sum := 1 // the request itself
+	for _, i := range usable {
+		sum += candidates[i].Load
+	}
+	return math.Floor(c.Multiple*float64(sum)/float64(len(usable)) + c.Extra)
+}
+
+// Plain returns the index of the server of a plain service, and false if there is
+// none. Equal choices are broken by draw, any number.
+func Plain(zone amaranthtide.ZoneName, draw uint64, candidates []Candidate) (int, bool) {
+	usable := preferred(candidates)
+	if len(usable) == 0 {
+		return 0, false
+	}
+	// Rotation spreads ties over the servers.
+	turn := int(draw % uint64(len(usable)))
+	usable = slices.Concat(usable[turn:], usable[:turn])
+	return least(candidates, usable, func(i int) int {
+		load := 2 * candidates[i].Load
+		if candidates[i].Instance.Zone != zone {
+			load++
+		}
+		return load
+	}), true
+}
+
+// preferred returns the indexes of the servers that need not be avoided, or all if
+// there are no others.
+func preferred(candidates []Candidate) []int {
+	all := make([]int, 0, len(candidates))
+	for i := range candidates {
+		if !candidates[i].Avoid {
+			all = append(all, i)
+		}
+	}
+	if len(all) > 0 {
+		return all
+	}
+	for i := range candidates {
+		all = append(all, i)
+	}
+	return all
+}
+
+func least(candidates []Candidate, of []int, load func(i int) int) int {
+	return slices.MinFunc(of, func(a, b int) int { return cmp.Compare(load(a), load(b)) })
+}
+
+// ranked returns the indexes in the rendezvous order of the chat.
+func ranked(chat amaranthtide.ChatID, candidates []Candidate, of []int) []int {
+	p := placement.New(chat)
+	out := slices.Clone(of)
+	slices.SortFunc(out, func(a, b int) int {
+		return p.Compare(candidates[a].Instance.Name, candidates[b].Instance.Name)
+	})
+	return out
+}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -29,6 +29,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -235,3 +236,27 @@
 	}
 	return first, second
 }
+
+// First returns the first n routers in the order of the name, or all if there are
+// fewer. The order of routers doesn't matter.
+func First(name string, routers []amaranthtide.VMName, n int) []amaranthtide.VMName {
+	hash := xxhash.Sum64String(name)
+	ranked := slices.Clone(routers)
+	slices.SortFunc(ranked, func(a, b amaranthtide.VMName) int {
+		sa, sb := score(hash, xxhash.Sum64String(string(a))), score(hash, xxhash.Sum64String(string(b)))
+		if sa != sb {
+			return cmp.Compare(sb, sa)
+		}
+		return strings.Compare(string(a), string(b))
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+// Compare orders two servers for the chat: a negative number if a goes first.
+func (p Placement) Compare(a, b amaranthtide.BackendServerName) int {
+	sa, sb := score(p.hash, xxhash.Sum64String(string(a))), score(p.hash, xxhash.Sum64String(string(b)))
+	if sa != sb {
+		return cmp.Compare(sb, sa)
+	}
+	return strings.Compare(string(a), string(b))
+}
--- a/protocol/message/control.go
+++ b/protocol/message/control.go
@@ -10,6 +10,8 @@
 	TopicChanges       = "changes"
 	TopicChangesWanted = "changesWanted"
 	TopicGroupLoad     = "groupLoad"
+	TopicRows          = "rows"
+	TopicRowsWanted    = "rowsWanted"
 )
 
 // Control carries one control message.
--- a/request.go
+++ b/request.go
@@ -18,8 +18,27 @@
 	Class Class
 	// Weight is the weight of the workspace in the fair queue.
 	Weight int
-	// Key is empty for a repeatable request.
+	// Key is set for a request that runs at most once by a stored claim.
 	Key IdempotencyKey
+	// Once marks a request without a key that may run at most once.
+	Once bool
+	// Resumable marks a stream that may go on at another server.
+	Resumable bool
+	// Service is the service that the rule of the request chose; empty where the
+	// request names a model or route.
+	Service ServiceName
+	// Priority ranks the request among those of its service; 0 is the most urgent.
+	Priority int
+	// MaxAttempts is the number of servers on which the request may run; 0 is no limit.
+	MaxAttempts int
+	// Objective is the time within which the answer should begin; 0 is none.
+	Objective time.Duration
+	// Arrived is when the request was read.
+	Arrived time.Time
+	// PromptTokens and SharedTokens are the length of the prompt and of the part of
+	// it that other requests of the chat share.
+	PromptTokens int
+	SharedTokens int
 	// Cost estimates the work in tokens; at least 1.
 	Cost int
 	// Deadline is when the caller stops waiting.
@@ -38,7 +57,7 @@
 }
 
 // Repeatable reports whether the request may run more than once.
-func (r *Request) Repeatable() bool { return r.Key == "" }
+func (r *Request) Repeatable() bool { return r.Key == "" && !r.Once }
 
 // HeaderField is one field of an HTTP header.
 type HeaderField struct {
--- /dev/null
+++ b/state/declared/configuration.go
@@ -0,0 +1,130 @@
+// Package declared holds the configuration in force: the newest version that the
+// router has seen, indexed for the lookups of the request path.
+//
+// # Usage
+//
+//	c := declared.New()
+//	if c.Apply(cfg) {
+//		// cfg is newer than what was in force.
+//	}
+//	now, ok := c.Current()
+//	rule, ok := now.Match("shop.example", "/orders/17")
+//
+// A version never gives way to an older one. Readers that need several lookups to
+// agree take one Snapshot and ask it.
+package declared
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"amaranthtide"
+)
+
+// Configuration is concurrent-safe. Use New.
+type Configuration struct {
+	// mu orders versions that arrive at the same time.
+	mu      sync.Mutex
+	current atomic.Pointer[Snapshot]
+	changed chan struct{}
+}
+
+// New returns a Configuration without a version.
+func New() *Configuration { return &Configuration{changed: make(chan struct{}, 1)} }
+
+// Changed gets a value after a version was applied.
+func (c *Configuration) Changed() <-chan struct{} { return c.changed }
+
+// Apply puts a version in force and returns true, or returns false if it is not
+// newer than the one in force.
+func (c *Configuration) Apply(cfg amaranthtide.Configuration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last := c.current.Load(); last != nil && cfg.Revision <= last.cfg.Revision {
+		return false
+	}
+	c.current.Store(newSnapshot(cfg))
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Current returns the version in force, and false if there is none yet.
+func (c *Configuration) Current() (*Snapshot, bool) {
+	s := c.current.Load()
+	return s, s != nil
+}
+
+// Revision returns the revision in force; 0 if there is none.
+func (c *Configuration) Revision() amaranthtide.Revision {
+	if s := c.current.Load(); s != nil {
+		return s.cfg.Revision
+	}
+	return 0
+}
+
+// Snapshot is one version of the configuration. It is immutable.
+type Snapshot struct {
+	cfg      amaranthtide.Configuration
+	rules    map[string][]amaranthtide.Rule
+	services map[amaranthtide.ServiceName]amaranthtide.ServiceSpec
+}
+
+func newSnapshot(cfg amaranthtide.Configuration) *Snapshot {
+	s := &Snapshot{
+		cfg:      cfg,
+		rules:    make(map[string][]amaranthtide.Rule),
+		services: make(map[amaranthtide.ServiceName]amaranthtide.ServiceSpec, len(cfg.Services)),
+	}
+	for _, r := range cfg.Rules {
+		host := strings.ToLower(r.Host)
+		s.rules[host] = append(s.rules[host], r)
+	}
+	for _, rules := range s.rules {
+		slices.SortStableFunc(rules, func(a, b amaranthtide.Rule) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, v := range cfg.Services {
+		s.services[v.Name] = v
+	}
+	return s
+}
+
+// Revision returns the revision of the version.
+func (s *Snapshot) Revision() amaranthtide.Revision { return s.cfg.Revision }
+
+// Limits returns what callers may send.
+func (s *Snapshot) Limits() amaranthtide.CallerLimits { return s.cfg.Limits }
+
+// Match returns the rule of the host with the longest prefix of the path, and
+// false if there is none. The host may carry a port.
+func (s *Snapshot) Match(host, path string) (amaranthtide.Rule, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range s.rules[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return amaranthtide.Rule{}, false
+}
+
+// Grant returns what a caller key allows, and false if the key is not in force.
+func (s *Snapshot) Grant(key amaranthtide.CallerKey) (amaranthtide.Grant, bool) {
+	g, ok := s.cfg.Keys[key]
+	return g, ok
+}
+
+// NeedsKeys reports whether requests need a key unless their rule is public.
+func (s *Snapshot) NeedsKeys() bool { return s.cfg.Keys != nil }
+
+// Service returns a service and whether it is declared.
+func (s *Snapshot) Service(name amaranthtide.ServiceName) (amaranthtide.ServiceSpec, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
--- /dev/null
+++ b/state/servers/directory.go
@@ -0,0 +1,94 @@
+// Package servers holds the backend servers that may get work and the zones that
+// are out of service, for readers on the request path.
+//
+// # Usage
+//
+//	d := servers.New()
+//	d.Set(instances)
+//	d.SetOut(amaranthtide.NewSet[amaranthtide.ZoneName]("zone-b"))
+//	for _, in := range d.Of("checkout") { ... } // shared, must not be changed
+package servers
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"amaranthtide"
+	"amaranthtide/state/shard"
+)
+
+// Directory is concurrent-safe. Use New.
+type Directory struct {
+	mu       sync.Mutex
+	services *shard.Map[amaranthtide.ServiceName, []amaranthtide.Instance]
+	names    *shard.Map[amaranthtide.BackendServerName, amaranthtide.Instance]
+	out      atomic.Pointer[amaranthtide.Set[amaranthtide.ZoneName]]
+}
+
+// New returns an empty Directory.
+func New() *Directory {
+	d := &Directory{
+		services: shard.New[amaranthtide.ServiceName, []amaranthtide.Instance](),
+		names:    shard.New[amaranthtide.BackendServerName, amaranthtide.Instance](),
+	}
+	none := amaranthtide.NewSet[amaranthtide.ZoneName]()
+	d.out.Store(&none)
+	return d
+}
+
+// Set replaces the servers.
+func (d *Directory) Set(all []amaranthtide.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	byService := make(map[amaranthtide.ServiceName][]amaranthtide.Instance)
+	known := amaranthtide.NewSet[amaranthtide.BackendServerName]()
+	for _, in := range all {
+		byService[in.Service] = append(byService[in.Service], in)
+		known.Add(in.Name)
+		d.names.Set(in.Name, in)
+	}
+	var gone []amaranthtide.BackendServerName
+	d.names.Range(func(name amaranthtide.BackendServerName, _ amaranthtide.Instance) bool {
+		if !known.Has(name) {
+			gone = append(gone, name)
+		}
+		return true
+	})
+	for _, name := range gone {
+		d.names.Delete(name)
+	}
+	var empty []amaranthtide.ServiceName
+	d.services.Range(func(name amaranthtide.ServiceName, _ []amaranthtide.Instance) bool {
+		if _, ok := byService[name]; !ok {
+			empty = append(empty, name)
+		}
+		return true
+	})
+	for _, name := range empty {
+		d.services.Delete(name)
+	}
+	for name, list := range byService {
+		d.services.Set(name, list)
+	}
+}
+
+// SetOut replaces the zones whose servers get no work.
+func (d *Directory) SetOut(zones amaranthtide.Set[amaranthtide.ZoneName]) { d.out.Store(&zones) }
+
+// Out reports whether the servers of a zone get no work.
+func (d *Directory) Out(zone amaranthtide.ZoneName) bool { return d.out.Load().Has(zone) }
+
+// Of returns the servers of a service, those of zones out of service included.
+func (d *Directory) Of(service amaranthtide.ServiceName) []amaranthtide.Instance {
+	list, _ := d.services.Get(service)
+	return list
+}
+
+// Usable reports whether the server may get work at this moment.
+func (d *Directory) Usable(name amaranthtide.BackendServerName) bool {
+	in, ok := d.names.Get(name)
+	return ok && !d.Out(in.Zone)
+}
+
+// Len returns the number of servers.
+func (d *Directory) Len() int { return d.names.Len() }
--- /dev/null
+++ b/transport/direct/dispatcher.go
@@ -0,0 +1,174 @@
+// Package direct serves requests by sending them from their entry router straight to
+// backend servers, without an owner in between.
+//
+// It suits fleets of a few dozen routers whose requests are long against the time
+// in which routers learn of each other's load: bounds that hold over the fleet
+// (the load of an engine, the rate of a cold server, the retry budget) are kept by
+// reports and by fixed shares, so that a router that is cut off from all others
+// goes on serving. Package dispatch is the other amaranthtide.Service, with an exact
+// count of each engine at its owner.
+//
+// # Usage
+//
+//	d := direct.New(direct.Options{VM: "vm-1", Zone: "a", Configuration: c, Servers: s,
+//		Traffic: t, Courier: courier})
+//	err := d.Serve(ctx, req, w)
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/choice"
+	"amaranthtide/coordination/coldrate"
+	"amaranthtide/coordination/outlier"
+	"amaranthtide/coordination/retry"
+	"amaranthtide/state/declared"
+	"amaranthtide/state/servers"
+	"amaranthtide/state/shard"
+	"amaranthtide/state/traffic"
+)
+
+// Options are the parts that a Dispatcher works with. All but Logger are required.
+type Options struct {
+	VM            amaranthtide.VMName
+	Zone          amaranthtide.ZoneName
+	Configuration *declared.Configuration
+	Servers       *servers.Directory
+	Traffic       *traffic.Traffic
+	Courier       amaranthtide.Courier
+	// Cap bounds the load of an engine.
+	Cap    choice.Cap
+	Logger hclog.Logger
+}
+
+// Dispatcher implements amaranthtide.Service. It is concurrent-safe.
+type Dispatcher struct {
+	opts    Options
+	records *shard.Map[amaranthtide.BackendServerName, *outlier.Record]
+	budgets *shard.Map[amaranthtide.ServiceName, *retry.Budget]
+
+	mu   sync.Mutex
+	cold *coldrate.Limiter
+}
+
+var _ amaranthtide.Service = (*Dispatcher)(nil)
+
+// New returns a Dispatcher.
+func New(opts Options) *Dispatcher {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	return &Dispatcher{
+		opts:    opts,
+		records: shard.New[amaranthtide.BackendServerName, *outlier.Record](),
+		budgets: shard.New[amaranthtide.ServiceName, *retry.Budget](),
+		cold:    coldrate.New(opts.VM),
+	}
+}
+
+// SetRouters replaces the registered routers, the own one among them.
+func (d *Dispatcher) SetRouters(routers []amaranthtide.VMName) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.SetRouters(routers)
+}
+
+// ServerGone drops what is held of a server that has left the list.
+func (d *Dispatcher) ServerGone(name amaranthtide.BackendServerName) {
+	d.records.Delete(name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.Forget(name)
+}
+
+// Serve implements amaranthtide.Service.
+func (d *Dispatcher) Serve(ctx context.Context, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
+	spec := amaranthtide.ServiceSpec{Name: req.Service}
+	if snapshot, ok := d.opts.Configuration.Current(); ok {
+		if declared, found := snapshot.Service(req.Service); found {
+			spec = declared
+		}
+	}
+	d.earn(req.Service)
+	run := &run{d: d, req: req, spec: spec, w: w, tried: amaranthtide.NewSet[amaranthtide.BackendServerName]()}
+	return run.serve(ctx)
+}
+
+// pick returns the server for the next attempt.
+func (d *Dispatcher) pick(now time.Time, req *amaranthtide.Request, spec amaranthtide.ServiceSpec, tried amaranthtide.Set[amaranthtide.BackendServerName]) (amaranthtide.Instance, error) {
+	candidates := d.candidates(now, req.Service, tried)
+	for len(candidates) > 0 {
+		var i int
+		var ok bool
+		if spec.Engine {
+			i, ok = choice.Engine(req.Chat, candidates, d.opts.Cap)
+		} else {
+			i, ok = choice.Plain(d.opts.Zone, rand.Uint64(), candidates)
+		}
+		if !ok {
+			break
+		}
+		if in := candidates[i].Instance; d.admit(now, in, spec) {
+			return in, nil
+		}
+		candidates = append(candidates[:i], candidates[i+1:]...)
+	}
+	return amaranthtide.Instance{}, amaranthtide.Errorf(amaranthtide.KindNoBackend, "service %s: no server may take the request, %d were tried", req.Service, len(tried))
+}
+
+// admit takes a share of the rate of a cold server.
+func (d *Dispatcher) admit(now time.Time, in amaranthtide.Instance, spec amaranthtide.ServiceSpec) bool {
+	if spec.ColdPerSecond <= 0 || !now.Before(in.ColdUntil) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cold.Take(now, in.Name, spec.ColdPerSecond)
+}
+
+func (d *Dispatcher) candidates(now time.Time, service amaranthtide.ServiceName, tried amaranthtide.Set[amaranthtide.BackendServerName]) []choice.Candidate {
+	instances := d.opts.Servers.Of(service)
+	out := make([]choice.Candidate, 0, len(instances))
+	for _, in := range instances {
+		if tried.Has(in.Name) || d.opts.Servers.Out(in.Zone) {
+			continue
+		}
+		c := choice.Candidate{Instance: in, Load: d.opts.Traffic.Load(now, in.Name)}
+		d.records.With(in.Name, func(r *outlier.Record, ok bool) { c.Avoid = ok && r.Avoid(now) })
+		out = append(out, c)
+	}
+	return out
+}
+
+// note records an outcome of a server.
+func (d *Dispatcher) note(server amaranthtide.BackendServerName, f func(r *outlier.Record)) {
+	d.records.Update(server, func(r *outlier.Record, ok bool) (*outlier.Record, bool) {
+		if !ok {
+			r = &outlier.Record{}
+		}
+		f(r)
+		return r, true
+	})
+}
+
+func (d *Dispatcher) earn(service amaranthtide.ServiceName) {
+	d.budgets.Update(service, func(b *retry.Budget, ok bool) (*retry.Budget, bool) {
+		if !ok {
+			b = &retry.Budget{}
+		}
+		b.Earn()
+		return b, true
+	})
+}
+
+func (d *Dispatcher) takeRetry(service amaranthtide.ServiceName) bool {
+	taken := false
+	d.budgets.With(service, func(b *retry.Budget, ok bool) { taken = ok && b.Take() })
+	return taken
+}
--- /dev/null
+++ b/transport/direct/run.go
@@ -0,0 +1,127 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"amaranthtide"
+	"amaranthtide/coordination/outlier"
+)
+
+// maxDials bounds the servers that one request tries to reach, so that a request
+// with no reachable server is refused soon.
+const maxDials = 4
+
+// run is one request on its way.
+type run struct {
+	d    *Dispatcher
+	req  *amaranthtide.Request
+	spec amaranthtide.ServiceSpec
+	w    amaranthtide.AnswerWriter
+	// tried are the servers that the request was offered to.
+	tried amaranthtide.Set[amaranthtide.BackendServerName]
+	// sent counts the servers that may have run the request, dials those that could
+	// not be reached.
+	sent, dials int
+	// ran is the first error after which a server may have run the request.
+	ran    error
+	answer answer
+}
+
+func (r *run) serve(ctx context.Context) error {
+	r.answer = answer{w: r.w, resumable: r.req.Resumable}
+	for {
+		in, err := r.d.pick(time.Now(), r.req, r.spec, r.tried)
+		if err != nil {
+			return r.giveUp(err)
+		}
+		r.tried.Add(in.Name)
+		r.answer.mayHold = r.mayRepeat(1)
+		err = r.send(ctx, in)
+		if err == nil {
+			return r.answer.flush()
+		}
+		if r.ran == nil && amaranthtide.KindOf(err).Reply().Ran != amaranthtide.RanNo {
+			r.ran = err
+		}
+		if !r.again(ctx, err) {
+			return r.giveUp(err)
+		}
+	}
+}
+
+// send sends one attempt and records its outcome.
+func (r *run) send(ctx context.Context, in amaranthtide.Instance) error {
+	r.d.opts.Traffic.Begin(in.Name)
+	defer r.d.opts.Traffic.End(in.Name)
+	r.req.Attempt = amaranthtide.NewAttemptID()
+	err := r.d.opts.Courier.Send(ctx, amaranthtide.Attempt{
+		Request: r.req, Server: in.Name, Address: in.Address, Deadline: r.req.Deadline, ResumeAfter: r.answer.lastID(),
+	}, &r.answer)
+	if err == nil && r.answer.holding {
+		err = amaranthtide.Errorf(amaranthtide.KindBackendFailed, "server %s answered status %d", in.Name, r.answer.held.head.Status)
+	}
+	now := time.Now()
+	kind := amaranthtide.KindOf(err)
+	switch {
+	case err == nil, kind == amaranthtide.KindCanceled && ctx.Err() == context.Canceled:
+		r.d.note(in.Name, func(rec *outlier.Record) { rec.Succeeded(now) })
+	case kind == amaranthtide.KindNoBackend:
+		r.d.note(in.Name, func(rec *outlier.Record) { rec.Unreachable(now) })
+	case kind == amaranthtide.KindFull:
+	default:
+		r.d.note(in.Name, func(rec *outlier.Record) { rec.Failed(now) })
+	}
+	if err != nil {
+		r.d.opts.Logger.Debug("attempt failed", "request", r.req.ID, "server", in.Name, "kind", kind.String(),
+			"age", now.Sub(r.req.Arrived), "shown", r.answer.shown, "error", err)
+	}
+	return err
+}
+
+// again reports whether another server may be asked after err.
+func (r *run) again(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch amaranthtide.KindOf(err) {
+	case amaranthtide.KindNoBackend:
+		r.dials++
+		return r.dials < maxDials
+	case amaranthtide.KindFull, amaranthtide.KindLeaving, amaranthtide.KindNotOwner:
+		// The server did not run it; the send counts against the budget all the same.
+		return r.mayRefer() && r.d.takeRetry(r.req.Service)
+	case amaranthtide.KindTruncated, amaranthtide.KindBackendFailed, amaranthtide.KindOutcomeUnknown:
+		r.sent++
+		return r.mayRepeat(0) && r.d.takeRetry(r.req.Service)
+	default:
+		return false
+	}
+}
+
+// mayRefer reports whether a request that a server refused may go to another one.
+func (r *run) mayRefer() bool { return len(r.tried)-r.dials < maxDials }
+
+// mayRepeat reports whether the request may run once more after it has run on the
+// given number of servers beyond those counted.
+func (r *run) mayRepeat(more int) bool {
+	if !r.req.Repeatable() && !r.req.Resumable {
+		return false
+	}
+	if r.answer.shown && !r.req.Resumable {
+		return false
+	}
+	return r.req.MaxAttempts == 0 || r.sent+more < r.req.MaxAttempts
+}
+
+// giveUp ends the request with a held answer if there is one, and with the error of
+// an attempt that may have run before that of one that did not.
+func (r *run) giveUp(err error) error {
+	if r.answer.held != nil {
+		return r.answer.release()
+	}
+	if r.ran != nil {
+		return r.ran
+	}
+	return err
+}
--- /dev/null
+++ b/transport/follow/follower.go
@@ -0,0 +1,272 @@
+// Package follow keeps a router's picture of what the platform lists and operators
+// declare: it follows the platform's feed, takes rows from other routers while the
+// feed is away, and passes what the rows say to the state of the request path.
+//
+// # Usage
+//
+//	f := follow.New(follow.Options{Feed: store, Reader: reader, Tables: names, Rows: rows,
+//		Configuration: c, Servers: s})
+//	f.Start()
+//	defer f.Close() // waits
+//	if f.Away(now) { ... } // the feed can't be read
+//	f.Apply(table, page)   // from another router
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/registration"
+	"amaranthtide/state/declared"
+	"amaranthtide/state/feed"
+	"amaranthtide/state/servers"
+)
+
+const (
+	// retryWait is the mean wait after a failed call. It keeps a router that returns
+	// from a cut well inside the bound of a change.
+	retryWait = 400 * time.Millisecond
+	// awayAfter is how long calls must fail until rows are asked from other routers.
+	awayAfter = 300 * time.Millisecond
+	// expireInterval is how often lapsed servers are looked at.
+	expireInterval = 250 * time.Millisecond
+)
+
+// Options are the parts that a Follower works with. All but Gone and Logger are
+// required.
+type Options struct {
+	Feed   amaranthtide.Feed
+	Reader amaranthtide.FactReader
+	// Tables are the tables to follow.
+	Tables        []amaranthtide.FeedTable
+	Rows          *feed.Tables
+	Configuration *declared.Configuration
+	Servers       *servers.Directory
+	// Gone is called with each server that has left the list.
+	Gone   func(amaranthtide.BackendServerName)
+	Logger hclog.Logger
+}
+
+// Follower is concurrent-safe. Use New.
+type Follower struct {
+	opts Options
+
+	mu      sync.Mutex
+	listing *registration.Registration
+	// servers and zones tell which row names which server or zone.
+	servers map[rowKey]amaranthtide.BackendServerName
+	zones   map[rowKey]amaranthtide.ZoneName
+	// failing holds the time of the first failed call since the last good one.
+	failing map[amaranthtide.FeedTable]time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+type rowKey struct {
+	table amaranthtide.FeedTable
+	key   string
+}
+
+// New returns a Follower that does nothing until Start.
+func New(opts Options) *Follower {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	if opts.Gone == nil {
+		opts.Gone = func(amaranthtide.BackendServerName) {}
+	}
+	f := &Follower{
+		opts:    opts,
+		listing: registration.New(),
+		servers: make(map[rowKey]amaranthtide.BackendServerName),
+		zones:   make(map[rowKey]amaranthtide.ZoneName),
+		failing: make(map[amaranthtide.FeedTable]time.Time),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	return f
+}
+
+// Start begins to follow the tables.
+func (f *Follower) Start() {
+	for _, table := range f.opts.Tables {
+		f.wg.Go(func() { f.loop(table) })
+	}
+	f.wg.Go(f.run)
+}
+
+// Close ends the calls in flight and waits.
+func (f *Follower) Close() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+// loop follows one table.
+func (f *Follower) loop(table amaranthtide.FeedTable) {
+	for f.ctx.Err() == nil {
+		page, err := f.opts.Feed.Next(f.ctx, table, f.opts.Rows.Version(table))
+		now := time.Now()
+		if err != nil {
+			f.lost(now, table, err)
+			f.sleep(retryWait/2 + rand.N(retryWait))
+			continue
+		}
+		f.returned(now, table)
+		f.Apply(now, table, page)
+	}
+}
+
+func (f *Follower) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.ctx.Done():
+	}
+}
+
+// run removes lapsed servers in time.
+func (f *Follower) run() {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.expire(now)
+		}
+	}
+}
+
+func (f *Follower) expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	gone := f.listing.Expire(now)
+	if len(gone) == 0 {
+		return
+	}
+	f.opts.Logger.Info("servers lapsed", "servers", gone)
+	f.publish(now, gone)
+}
+
+func (f *Follower) lost(now time.Time, table amaranthtide.FeedTable, err error) {
+	if f.ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listing.Lost(now)
+	if _, ok := f.failing[table]; ok {
+		return
+	}
+	f.failing[table] = now
+	f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table), "error", err)
+}
+
+func (f *Follower) returned(now time.Time, table amaranthtide.FeedTable) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, ok := f.failing[table]
+	if !ok {
+		return
+	}
+	delete(f.failing, table)
+	if len(f.failing) == 0 {
+		f.listing.Returned(now)
+	}
+	f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(since))
+}
+
+// Away returns the tables whose feed has failed for a while.
+func (f *Follower) Away(now time.Time) []amaranthtide.FeedTable {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var away []amaranthtide.FeedTable
+	for _, table := range f.opts.Tables {
+		if since, ok := f.failing[table]; ok && now.Sub(since) >= awayAfter {
+			away = append(away, table)
+		}
+	}
+	return away
+}
+
+// Apply takes rows of a table, from the feed or from another router.
+func (f *Follower) Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := f.opts.Rows.Apply(table, page)
+	if len(news) == 0 {
+		return
+	}
+	var gone []amaranthtide.BackendServerName
+	for _, row := range news {
+		gone = append(gone, f.take(now, row)...)
+	}
+	f.publish(now, gone)
+}
+
+// take takes one row and returns the servers that are gone by it.
+func (f *Follower) take(now time.Time, row amaranthtide.FeedRow) []amaranthtide.BackendServerName {
+	key := rowKey{row.Table, row.Key}
+	if row.Value == nil {
+		return f.remove(now, key)
+	}
+	fact, err := f.opts.Reader.Read(now, row)
+	if err != nil {
+		f.opts.Logger.Warn("row can't be read", "table", row.Table, "key", row.Key, "version", row.Version, "error", err)
+		return f.remove(now, key)
+	}
+	if cfg, ok := fact.Configuration.Get(); ok && f.opts.Configuration.Apply(cfg) {
+		f.opts.Logger.Info("configuration applied", "revision", cfg.Revision, "rules", len(cfg.Rules), "keys", len(cfg.Keys))
+	}
+	if zone, ok := fact.ZoneOut.Get(); ok {
+		f.zones[key] = zone
+		f.opts.Logger.Info("zone out of service", "zone", zone, "version", row.Version)
+	}
+	if in, ok := fact.Instance.Get(); ok {
+		f.servers[key] = in.Name
+		if f.listing.Put(now, in) {
+			f.opts.Logger.Info("server listed", "server", in.Name, "service", in.Service, "zone", in.Zone,
+				"leaving", in.Leaving, "cold", !in.ColdUntil.IsZero(), "version", row.Version)
+		}
+	}
+	return nil
+}
+
+func (f *Follower) remove(now time.Time, key rowKey) []amaranthtide.BackendServerName {
+	if zone, ok := f.zones[key]; ok {
+		delete(f.zones, key)
+		f.opts.Logger.Info("zone back in service", "zone", zone)
+	}
+	name, ok := f.servers[key]
+	if !ok {
+		return nil
+	}
+	gone := f.listing.Remove(now, name)
+	f.opts.Logger.Info("server unlisted", "server", name, "gone", gone)
+	if !gone {
+		return nil
+	}
+	delete(f.servers, key)
+	return []amaranthtide.BackendServerName{name}
+}
+
+// publish passes the servers and zones on to the request path.
+func (f *Follower) publish(now time.Time, gone []amaranthtide.BackendServerName) {
+	out := amaranthtide.NewSet[amaranthtide.ZoneName]()
+	for _, zone := range f.zones {
+		out.Add(zone)
+	}
+	f.opts.Servers.SetOut(out)
+	f.opts.Servers.Set(f.listing.Usable(now))
+	for _, name := range gone {
+		f.opts.Gone(name)
+	}
+}
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,231 @@
+// Package gateway assembles a router that serves declared routes straight from its
+// entry: requests of callers, the feed of a platform, other routers and the
+// dispatcher of package direct. What speaks to callers, servers and the platform
+// enters through the interfaces of Options.
+//
+// # Usage
+//
+//	g, err := gateway.New(gateway.Options{Entry: entry, Callers: callers, Ready: ready, ...})
+//	if err != nil {
+//		return err
+//	}
+//	<-ctx.Done()
+//	return g.Close() // graceful: waits for requests in flight
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide"
+	"amaranthtide/coordination/choice"
+	"amaranthtide/state/declared"
+	"amaranthtide/state/feed"
+	"amaranthtide/state/servers"
+	"amaranthtide/state/traffic"
+	"amaranthtide/transport/direct"
+	"amaranthtide/transport/follow"
+	"amaranthtide/transport/mesh"
+	"amaranthtide/transport/peers"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout exceeds what operators let callers idle, so that callers end idle
+	// connections.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes bounds a request's head; the declared limit is smaller.
+	maxHeaderBytes = 32 << 10
+	// announceShare is the part of the grace in which new requests are still taken
+	// while the router is no longer ready.
+	announceShare = 0.35
+	// drainShare is the part of the grace after which requests in flight are cut.
+	drainShare = 0.94
+)
+
+// Options are what a router is made of. All but Seeds, Metrics and Logger are
+// required.
+type Options struct {
+	// Entry is the router's own entry in the registry. Its address is where other
+	// routers reach it.
+	Entry amaranthtide.RouterEntry
+	// Callers is where callers are served, Ready where the load balancer asks.
+	Callers netip.AddrPort
+	Ready   netip.AddrPort
+	// ReadyPath is the path of the load balancer's question.
+	ReadyPath string
+	Seeds     []netip.AddrPort
+	FleetKey  string
+	// Grace is the time from the signal to stop to the end of the process.
+	Grace time.Duration
+	// Cap bounds the load of an engine.
+	Cap choice.Cap
+	// Tables are the tables that the feed tells, Registry is that of the routers.
+	Tables    []amaranthtide.FeedTable
+	Registry  amaranthtide.FeedTable
+	Feed      amaranthtide.Feed
+	Registrar amaranthtide.Registrar
+	Reader    amaranthtide.FactReader
+	Courier   amaranthtide.Courier
+	// Front returns the handler of callers' requests.
+	Front  func(FrontParts) http.Handler
+	Logger hclog.Logger
+}
+
+// FrontParts are what the handler of callers' requests works with.
+type FrontParts struct {
+	Configuration *declared.Configuration
+	Service       amaranthtide.Service
+	Draining      func() bool
+}
+
+// Gateway is one router. Use New.
+type Gateway struct {
+	opts          Options
+	configuration *declared.Configuration
+	servers       *servers.Directory
+	follower      *follow.Follower
+	mesh          *mesh.Mesh
+	peers         *peers.Exchange
+
+	callers  *http.Server
+	ready    *http.Server
+	draining atomic.Bool
+	wg       sync.WaitGroup
+	once     sync.Once
+}
+
+// New starts a router. It listens when New returns and is ready once it knows the
+// configuration and the servers.
+func New(opts Options) (*Gateway, error) {
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	g := &Gateway{opts: opts, configuration: declared.New(), servers: servers.New()}
+	var err error
+	g.mesh, err = mesh.New(mesh.Options{Listen: opts.Entry.Address, Key: []byte(opts.FleetKey), Logger: opts.Logger.Named("mesh")})
+	if err != nil {
+		return nil, err
+	}
+	if err := g.start(); err != nil {
+		g.stop()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Gateway) start() error {
+	opts, logger := g.opts, g.opts.Logger
+	rows, load := feed.New(), traffic.New()
+	dispatcher := direct.New(direct.Options{
+		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: load,
+		Courier: opts.Courier, Cap: opts.Cap, Logger: logger.Named("dispatch"),
+	})
+	g.follower = follow.New(follow.Options{
+		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Rows: rows, Configuration: g.configuration,
+		Servers: g.servers, Gone: dispatcher.ServerGone, Logger: logger.Named("follow"),
+	})
+	g.peers = peers.New(peers.Options{
+		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
+		Traffic: load, Follower: g.follower, Rows: rows, Registry: opts.Feed, RegistryTable: opts.Registry,
+		Registrar: opts.Registrar, Reader: opts.Reader, Routers: dispatcher.SetRouters, Logger: logger.Named("peers"),
+	})
+	if err := g.peers.Start(); err != nil {
+		return err
+	}
+	g.follower.Start()
+	front := opts.Front(FrontParts{Configuration: g.configuration, Service: dispatcher, Draining: g.draining.Load})
+	var err error
+	if g.callers, err = g.serve(opts.Callers, front); err != nil {
+		return err
+	}
+	mux := chi.NewRouter()
+	mux.Get(opts.ReadyPath, g.readiness)
+	g.ready, err = g.serve(opts.Ready, mux)
+	return err
+}
+
+func (g *Gateway) serve(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, amaranthtide.Errorf(amaranthtide.KindInternal, "listen: %w", err)
+	}
+	srv := &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          g.opts.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	g.wg.Go(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.opts.Logger.Error("listener failed", "address", addr, "error", err)
+		}
+	})
+	return srv, nil
+}
+
+// readiness answers the load balancer.
+func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Ready reports whether the router wants new connections.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.configuration.Revision() > 0 && g.servers.Len() > 0
+}
+
+// Close shuts the router down gracefully: it is no longer ready, goes on serving
+// while the load balancer takes notice, and waits for requests in flight. Requests
+// that outlast the grace are cut; Close then returns an error.
+func (g *Gateway) Close() error {
+	var err error
+	g.once.Do(func() { err = g.close() })
+	return err
+}
+
+func (g *Gateway) close() error {
+	g.opts.Logger.Info("router leaves", "grace", g.opts.Grace)
+	g.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), part(g.opts.Grace, drainShare))
+	defer cancel()
+	announce := time.NewTimer(part(g.opts.Grace, announceShare))
+	defer announce.Stop()
+	<-announce.C
+	err := g.callers.Shutdown(ctx)
+	if err != nil {
+		g.opts.Logger.Warn("requests were cut at the end of the grace", "error", err)
+	}
+	g.stop()
+	return err
+}
+
+func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
+// stop closes the parts that were started, in reverse order.
+func (g *Gateway) stop() {
+	for _, srv := range []*http.Server{g.callers, g.ready} {
+		if srv != nil {
+			_ = srv.Close()
+		}
+	}
+	if g.follower != nil {
+		g.follower.Close()
+	}
+	if g.peers != nil {
+		g.peers.Close()
+	}
+	_ = g.mesh.Close()
+	g.wg.Wait()
+}
