coordination/registration, transport/follow: believe removals while any router reads the list

Change: only the listing table counts; a lost feed is asked without a wait; a router that can read the list vouches for it; the grace runs once from the return. SIGHUP and a changed file reload the settings.

--- a/cmd/amaranthtidegw/main.go
+++ b/cmd/amaranthtidegw/main.go
@@ -7,11 +7,10 @@
 // The settings come from FILE, or from the file that the platform has placed. With
 // --check the program checks them and ends. It ends with status 2 if a setting is
 // not allowed and with status 1 if the router can't run. SIGTERM and SIGINT start a
-// graceful shutdown.
+// graceful shutdown. SIGHUP reads the settings again, as does a change of the file.
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -51,17 +50,18 @@
 		return
 	}
 	logger := hclog.New(&hclog.LoggerOptions{Name: "amaranthtide", Level: cfg.LogLevel, JSONFormat: true, Output: os.Stdout})
-	if err := run(cfg, logger); err != nil {
+	if err := run(*file, cfg, logger); err != nil {
 		logger.Error("router failed", "error", err)
 		os.Exit(statusFailed)
 	}
 }
 
-func run(cfg platform.Settings, logger hclog.Logger) error {
+func run(file string, cfg platform.Settings, logger hclog.Logger) error {
 	debug.SetGCPercent(collectPercent)
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMegabytes) * (1 << 20)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	setMemory(cfg)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(stop)
 	opts, closeClients := platform.Options(cfg, logger)
 	defer closeClients()
 	g, err := gateway.New(opts)
@@ -69,7 +69,12 @@
 		return err
 	}
 	logger.Info("router started", "vm", cfg.VM, "zone", cfg.Zone, "callers", cfg.Callers, "listen", cfg.Listen)
-	<-ctx.Done()
-	stop()
+	r := newReloader(file, cfg, g, logger)
+	defer r.close()
+	<-stop
 	return g.Close()
 }
+
+func setMemory(cfg platform.Settings) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMegabytes) * (1 << 20)))
+}
--- /dev/null
+++ b/cmd/amaranthtidegw/reloader.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"amaranthtide/platform"
+	"amaranthtide/transport/gateway"
+)
+
+// lookInterval is how often the settings file is looked at, since it may change
+// without a signal.
+const lookInterval = 5 * time.Second
+
+// reloader reads the settings again on SIGHUP and when the file has changed.
+type reloader struct {
+	file    string
+	cfg     platform.Settings
+	gateway *gateway.Gateway
+	logger  hclog.Logger
+	changed time.Time
+
+	signals chan os.Signal
+	done    chan struct{}
+	wg      sync.WaitGroup
+}
+
+func newReloader(file string, cfg platform.Settings, g *gateway.Gateway, logger hclog.Logger) *reloader {
+	r := &reloader{
+		file: file, cfg: cfg, gateway: g, logger: logger, changed: modified(file),
+		signals: make(chan os.Signal, 1), done: make(chan struct{}),
+	}
+	signal.Notify(r.signals, syscall.SIGHUP)
+	r.wg.Go(r.run)
+	return r
+}
+
+// close ends the reloader and waits.
+func (r *reloader) close() {
+	signal.Stop(r.signals)
+	close(r.done)
+	r.wg.Wait()
+}
+
+func (r *reloader) run() {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-r.signals:
+			r.reload("signal")
+		case <-ticker.C:
+			if m := modified(r.file); !m.Equal(r.changed) {
+				r.reload("file changed")
+			}
+		}
+	}
+}
+
+func (r *reloader) reload(reason string) {
+	r.changed = modified(r.file)
+	cfg, err := platform.Load(r.file)
+	if err != nil {
+		r.logger.Error("settings not reloaded, the old ones stay in force", "reason", reason, "error", err)
+		return
+	}
+	r.logger.SetLevel(cfg.LogLevel)
+	setMemory(cfg)
+	r.gateway.Reload(gateway.Options{Grace: cfg.Grace, Cap: cfg.Cap()})
+	r.logger.Info("settings reloaded", "reason", reason, "restart", cfg.NeedsRestart(r.cfg))
+	r.cfg = cfg
+}
+
+// modified returns when the file was last written; zero if it can't be told.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/coordination/registration/registration.go
+++ b/coordination/registration/registration.go
@@ -2,17 +2,17 @@
 // events of the platform's list and from how well the list can be read.
 //
 // A server whose entry is removed is gone at once. While the list was away, and
-// shortly after, a removal may be nothing but a lapsed entry: the server then stays
-// usable until LapseGrace after the list's return, and goes if its entry has not
-// come back by then.
+// until LapseGrace after its return, a removal may be nothing but a lapsed entry: the
+// server then stays usable and goes at the end of the grace if its entry has not come
+// back by then.
 //
 // # Usage
 //
 //	r := registration.New()
 //	r.Put(now, instance)
 //	r.Remove(now, "engine-1")
-//	r.Lost(now)     // a call to the list failed
-//	r.Returned(now) // a call succeeded
+//	r.Lost()        // no router can read the list
+//	r.Returned(now) // this or another router can
 //	usable := r.Usable(now)
 //
 // A Registration is not concurrent-safe.
@@ -26,28 +26,22 @@
 	"amaranthtide"
 )
 
-const (
-	// LapseGrace is how long after the return of the list an entry may take to come
-	// back. Servers write again within two heartbeats.
-	LapseGrace = 2 * time.Second
-	// unsettled is how long after a failed call a removal counts as one that the
-	// outage caused, since the list is read with some delay.
-	unsettled = 3 * time.Second
-)
+// LapseGrace is how long after the return of the list an entry may take to come
+// back. Servers write again within two heartbeats.
+const LapseGrace = 2 * time.Second
 
 // Registration holds the servers of the list. Use New.
 type Registration struct {
 	servers map[amaranthtide.BackendServerName]entry
 	away    bool
-	// lost and returned are when the list was last lost and last came back.
-	lost, returned time.Time
+	// returned is when the list last came back.
+	returned time.Time
 }
 
 type entry struct {
 	amaranthtide.Instance
+	// lapsed marks an entry that was removed while the list was unsettled.
 	lapsed bool
-	// lapsedAt is when the removal was seen.
-	lapsedAt time.Time
 }
 
 // New returns an empty Registration.
@@ -73,10 +67,8 @@
 		return false
 	}
 	if !e.Leaving && r.unsettled(now) {
-		if !e.lapsed {
-			e.lapsed, e.lapsedAt = true, now
-			r.servers[name] = e
-		}
+		e.lapsed = true
+		r.servers[name] = e
 		return false
 	}
 	delete(r.servers, name)
@@ -97,8 +89,8 @@
 	}
 }
 
-// Lost notes that the list can't be read.
-func (r *Registration) Lost(now time.Time) { r.away, r.lost = true, now }
+// Lost notes that no router can read the list.
+func (r *Registration) Lost() { r.away = true }
 
 // Returned notes that the list was read.
 func (r *Registration) Returned(now time.Time) {
@@ -108,7 +100,7 @@
 }
 
 func (r *Registration) unsettled(now time.Time) bool {
-	return r.away || (!r.lost.IsZero() && now.Sub(r.lost) < unsettled)
+	return r.away || (!r.returned.IsZero() && now.Sub(r.returned) < LapseGrace)
 }
 
 // Expire removes the lapsed servers whose grace has passed and returns their names.
@@ -128,11 +120,7 @@
 	if !e.lapsed || r.away {
 		return false
 	}
-	from := r.returned
-	if e.lapsedAt.After(from) {
-		from = e.lapsedAt
-	}
-	return now.Sub(from) >= LapseGrace
+	return now.Sub(r.returned) >= LapseGrace
 }
 
 // Usable returns the servers that may get work, ordered by name.
--- /dev/null
+++ b/coordination/registration/registration_test.go
@@ -0,0 +1,106 @@
+package registration_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/coordination/registration"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func server(name amaranthtide.BackendServerName) amaranthtide.Instance {
+	return amaranthtide.Instance{Name: name, Service: "s", Zone: "a", Slots: 4, Started: start}
+}
+
+func names(in []amaranthtide.Instance) []amaranthtide.BackendServerName {
+	out := []amaranthtide.BackendServerName{}
+	for _, i := range in {
+		out = append(out, i.Name)
+	}
+	return out
+}
+
+// Guards against requests to a server that has left while the list can be read.
+func TestRemovalTakesEffectAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	r.Put(at(0), server("e1"))
+	is.True(r.Remove(at(time.Second), "e1"))
+	is.Equal(names(r.Usable(at(time.Second))), []amaranthtide.BackendServerName{})
+}
+
+// Guards against taking all servers for dead when their entries lapse in an outage of
+// the list, and against keeping those that do not come back.
+func TestLapsedEntriesStayForTheGrace(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	r.Put(at(0), server("e1"))
+	r.Put(at(0), server("e2"))
+	r.Lost()
+	r.Returned(at(10 * time.Second))
+	is.True(!r.Remove(at(10*time.Second), "e1"))
+	is.True(!r.Remove(at(10*time.Second), "e2"))
+	is.Equal(len(r.Usable(at(11*time.Second))), 2)
+	r.Put(at(11*time.Second), server("e2"))
+
+	end := at(10*time.Second + registration.LapseGrace)
+	is.Equal(names(r.Usable(end)), []amaranthtide.BackendServerName{"e2"})
+	is.Equal(r.Expire(end), []amaranthtide.BackendServerName{"e1"})
+	is.Equal(len(r.Expire(end)), 0)
+}
+
+// Guards against a removal that is held back as lapsed although the list returned
+// more than the grace ago: such a server leaves and must get no new work.
+func TestRemovalAfterTheGraceIsGenuine(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	r.Put(at(0), server("e1"))
+	r.Lost()
+	r.Returned(at(10 * time.Second))
+	is.True(r.Remove(at(10*time.Second+registration.LapseGrace), "e1"))
+}
+
+// Guards against a grace that begins anew with each call that succeeds.
+func TestReturnCountsOnce(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	r.Put(at(0), server("e1"))
+	r.Lost()
+	r.Returned(at(10 * time.Second))
+	r.Returned(at(11 * time.Second))
+	is.True(r.Remove(at(10*time.Second+registration.LapseGrace), "e1"))
+}
+
+// Guards against new work for a server that says that it leaves, and against an old
+// entry that undoes a restart under the same name.
+func TestLeavingAndRestart(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	is.True(r.Put(at(0), server("e1")))
+	is.True(!r.Put(at(0), server("e1")))
+	leaving := server("e1")
+	leaving.Leaving = true
+	is.True(r.Put(at(0), leaving))
+	is.Equal(len(r.Usable(at(0))), 0)
+
+	born := server("e1")
+	born.Started = at(time.Minute)
+	is.True(r.Put(at(time.Minute), born))
+	is.True(!r.Put(at(time.Minute), leaving))
+	is.Equal(len(r.Usable(at(time.Minute))), 1)
+}
+
+// Guards against a list that was read whole and keeps servers that it lacks.
+func TestReplaceRemovesWhatIsMissing(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	r.Put(at(0), server("e1"))
+	r.Replace(at(time.Second), []amaranthtide.Instance{server("e2")})
+	is.Equal(names(r.Usable(at(time.Second))), []amaranthtide.BackendServerName{"e2"})
+}
--- a/feed.go
+++ b/feed.go
@@ -30,9 +30,9 @@
 // Feed tells the rows of tables and their changes.
 type Feed interface {
 	// Next returns the whole table if after is 0 or the history after it is gone, and
-	// else waits for a while for changes after that version. A page without rows
-	// means that there was none. Errors are KindPlatformDown.
-	Next(ctx context.Context, table FeedTable, after RowVersion) (FeedPage, error)
+	// else waits at most for the given time for changes after that version. A page
+	// without rows means that there was none. Errors are KindPlatformDown.
+	Next(ctx context.Context, table FeedTable, after RowVersion, wait time.Duration) (FeedPage, error)
 }
 
 // Fact is what one row of the feed says. At most one of the options is set; none is
--- a/protocol/message/rows.go
+++ b/protocol/message/rows.go
@@ -19,7 +19,9 @@
 	Table   string
 	Version uint64
 	Whole   bool
-	Rows    []FeedRow
+	// Live tells that the sender reads the table's feed itself.
+	Live bool
+	Rows []FeedRow
 }
 
 // FeedRow is the wire form of amaranthtide.FeedRow.
@@ -33,8 +35,8 @@
 }
 
 // NewRows returns the wire form of a page of a table.
-func NewRows(table amaranthtide.FeedTable, page amaranthtide.FeedPage) *Rows {
-	m := &Rows{Table: string(table), Version: uint64(page.Version), Whole: page.Whole, Rows: make([]FeedRow, 0, len(page.Rows))}
+func NewRows(table amaranthtide.FeedTable, page amaranthtide.FeedPage, live bool) *Rows {
+	m := &Rows{Table: string(table), Version: uint64(page.Version), Whole: page.Whole, Live: live, Rows: make([]FeedRow, 0, len(page.Rows))}
 	for _, row := range page.Rows {
 		m.Rows = append(m.Rows, FeedRow{Key: row.Key, Version: uint64(row.Version), Removed: row.Value == nil, Value: row.Value})
 	}
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -19,6 +19,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -42,7 +43,7 @@
 	Servers       *servers.Directory
 	Traffic       *traffic.Traffic
 	Courier       amaranthtide.Courier
-	// Cap bounds the load of an engine.
+	// Cap bounds the load of an engine; SetCap replaces it.
 	Cap    choice.Cap
 	Logger hclog.Logger
 }
@@ -52,6 +53,7 @@
 	opts    Options
 	records *shard.Map[amaranthtide.BackendServerName, *outlier.Record]
 	budgets *shard.Map[amaranthtide.ServiceName, *retry.Budget]
+	limit   atomic.Pointer[choice.Cap]
 
 	mu   sync.Mutex
 	cold *coldrate.Limiter
@@ -64,14 +66,19 @@
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		opts:    opts,
 		records: shard.New[amaranthtide.BackendServerName, *outlier.Record](),
 		budgets: shard.New[amaranthtide.ServiceName, *retry.Budget](),
 		cold:    coldrate.New(opts.VM),
 	}
+	d.SetCap(opts.Cap)
+	return d
 }
 
+// SetCap replaces the bound on the load of an engine.
+func (d *Dispatcher) SetCap(c choice.Cap) { d.limit.Store(&c) }
+
 // SetRouters replaces the registered routers, the own one among them.
 func (d *Dispatcher) SetRouters(routers []amaranthtide.VMName) {
 	d.mu.Lock()
@@ -107,7 +114,7 @@
 		var i int
 		var ok bool
 		if spec.Engine {
-			i, ok = choice.Engine(req.Chat, candidates, d.opts.Cap)
+			i, ok = choice.Engine(req.Chat, candidates, *d.limit.Load())
 		} else {
 			i, ok = choice.Plain(d.opts.Zone, rand.Uint64(), candidates)
 		}
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -28,11 +28,17 @@
 )
 
 const (
+	// feedWait is how long a call waits for changes. Each call is priced; a call that
+	// was lost with its connection is noticed after this time at the latest.
+	feedWait = 5 * time.Second
 	// retryWait is the mean wait after a failed call. It keeps a router that returns
 	// from a cut well inside the bound of a change.
 	retryWait = 400 * time.Millisecond
 	// awayAfter is how long calls must fail until rows are asked from other routers.
 	awayAfter = 300 * time.Millisecond
+	// vouchAge is how long the word of another router that it can read the list counts.
+	// It covers two questions to other routers.
+	vouchAge = 1200 * time.Millisecond
 	// expireInterval is how often lapsed servers are looked at.
 	expireInterval = 250 * time.Millisecond
 )
@@ -42,8 +48,9 @@
 type Options struct {
 	Feed   amaranthtide.Feed
 	Reader amaranthtide.FactReader
-	// Tables are the tables to follow.
+	// Tables are the tables to follow, Listing is the one that lists the servers.
 	Tables        []amaranthtide.FeedTable
+	Listing       amaranthtide.FeedTable
 	Rows          *feed.Tables
 	Configuration *declared.Configuration
 	Servers       *servers.Directory
@@ -61,6 +68,8 @@
 	// servers and zones tell which row names which server or zone.
 	servers map[rowKey]amaranthtide.BackendServerName
 	zones   map[rowKey]amaranthtide.ZoneName
+	// vouched is when another router last said that it can read the list of servers.
+	vouched time.Time
 	// failing holds the time of the first failed call since the last good one.
 	failing map[amaranthtide.FeedTable]time.Time
 
@@ -110,7 +119,12 @@
 // loop follows one table.
 func (f *Follower) loop(table amaranthtide.FeedTable) {
 	for f.ctx.Err() == nil {
-		page, err := f.opts.Feed.Next(f.ctx, table, f.opts.Rows.Version(table))
+		// A feed that was lost is asked without a wait, so that its return shows soon.
+		wait := feedWait
+		if f.failed(table) {
+			wait = 0
+		}
+		page, err := f.opts.Feed.Next(f.ctx, table, f.opts.Rows.Version(table), wait)
 		now := time.Now()
 		if err != nil {
 			f.lost(now, table, err)
@@ -162,11 +176,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listing.Lost(now)
 	if _, ok := f.failing[table]; ok {
+		f.settle(now)
 		return
 	}
 	f.failing[table] = now
+	f.settle(now)
 	f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table), "error", err)
 }
 
@@ -178,12 +193,28 @@
 		return
 	}
 	delete(f.failing, table)
-	if len(f.failing) == 0 {
-		f.listing.Returned(now)
-	}
+	f.settle(now)
 	f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(since))
 }
 
+func (f *Follower) failed(table amaranthtide.FeedTable) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.failing[table]
+	return ok
+}
+
+// settle tells the listing whether removals can be believed: while this router or
+// another one can read the list of servers, they can.
+func (f *Follower) settle(now time.Time) {
+	_, failing := f.failing[f.opts.Listing]
+	if failing && now.Sub(f.vouched) > vouchAge {
+		f.listing.Lost()
+		return
+	}
+	f.listing.Returned(now)
+}
+
 // Away returns the tables whose feed has failed for a while.
 func (f *Follower) Away(now time.Time) []amaranthtide.FeedTable {
 	f.mu.Lock()
@@ -197,6 +228,16 @@
 	return away
 }
 
+// Vouch notes that another router can read the table's feed.
+func (f *Follower) Vouch(now time.Time, table amaranthtide.FeedTable) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if table == f.opts.Listing {
+		f.vouched = now
+		f.settle(now)
+	}
+}
+
 // Apply takes rows of a table, from the feed or from another router.
 func (f *Follower) Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage) {
 	f.mu.Lock()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -69,8 +69,10 @@
 	Grace time.Duration
 	// Cap bounds the load of an engine.
 	Cap choice.Cap
-	// Tables are the tables that the feed tells, Registry is that of the routers.
+	// Tables are the tables that the feed tells. Listing is the one of them that lists
+	// the servers, Registry is the table of the routers.
 	Tables    []amaranthtide.FeedTable
+	Listing   amaranthtide.FeedTable
 	Registry  amaranthtide.FeedTable
 	Feed      amaranthtide.Feed
 	Registrar amaranthtide.Registrar
@@ -93,6 +95,7 @@
 	opts          Options
 	configuration *declared.Configuration
 	servers       *servers.Directory
+	dispatcher    *direct.Dispatcher
 	follower      *follow.Follower
 	mesh          *mesh.Mesh
 	peers         *peers.Exchange
@@ -100,8 +103,10 @@
 	callers  *http.Server
 	ready    *http.Server
 	draining atomic.Bool
-	wg       sync.WaitGroup
-	once     sync.Once
+	// grace is Options.Grace, which a reload may replace.
+	grace atomic.Int64
+	wg    sync.WaitGroup
+	once  sync.Once
 }
 
 // New starts a router. It listens when New returns and is ready once it knows the
@@ -111,6 +116,7 @@
 		opts.Logger = hclog.NewNullLogger()
 	}
 	g := &Gateway{opts: opts, configuration: declared.New(), servers: servers.New()}
+	g.grace.Store(int64(opts.Grace))
 	var err error
 	g.mesh, err = mesh.New(mesh.Options{Listen: opts.Entry.Address, Key: []byte(opts.FleetKey), Logger: opts.Logger.Named("mesh")})
 	if err != nil {
@@ -126,24 +132,24 @@
 func (g *Gateway) start() error {
 	opts, logger := g.opts, g.opts.Logger
 	rows, load := feed.New(), traffic.New()
-	dispatcher := direct.New(direct.Options{
+	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: load,
 		Courier: opts.Courier, Cap: opts.Cap, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
-		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Rows: rows, Configuration: g.configuration,
-		Servers: g.servers, Gone: dispatcher.ServerGone, Logger: logger.Named("follow"),
+		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Listing: opts.Listing, Rows: rows, Configuration: g.configuration,
+		Servers: g.servers, Gone: g.dispatcher.ServerGone, Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
 		Traffic: load, Follower: g.follower, Rows: rows, Registry: opts.Feed, RegistryTable: opts.Registry,
-		Registrar: opts.Registrar, Reader: opts.Reader, Routers: dispatcher.SetRouters, Logger: logger.Named("peers"),
+		Registrar: opts.Registrar, Reader: opts.Reader, Routers: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
 	})
 	if err := g.peers.Start(); err != nil {
 		return err
 	}
 	g.follower.Start()
-	front := opts.Front(FrontParts{Configuration: g.configuration, Service: dispatcher, Draining: g.draining.Load})
+	front := opts.Front(FrontParts{Configuration: g.configuration, Service: g.dispatcher, Draining: g.draining.Load})
 	var err error
 	if g.callers, err = g.serve(opts.Callers, front); err != nil {
 		return err
@@ -186,6 +192,13 @@
 	return !g.draining.Load() && g.configuration.Revision() > 0 && g.servers.Len() > 0
 }
 
+// Reload replaces the options that may change while the router runs: the grace and
+// the bound on the load of an engine. The others need a new process.
+func (g *Gateway) Reload(opts Options) {
+	g.grace.Store(int64(opts.Grace))
+	g.dispatcher.SetCap(opts.Cap)
+}
+
 // Close shuts the router down gracefully: it is no longer ready, goes on serving
 // while the load balancer takes notice, and waits for requests in flight. Requests
 // that outlast the grace are cut; Close then returns an error.
@@ -196,11 +209,12 @@
 }
 
 func (g *Gateway) close() error {
-	g.opts.Logger.Info("router leaves", "grace", g.opts.Grace)
+	grace := time.Duration(g.grace.Load())
+	g.opts.Logger.Info("router leaves", "grace", grace.String())
 	g.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), part(g.opts.Grace, drainShare))
+	ctx, cancel := context.WithTimeout(context.Background(), part(grace, drainShare))
 	defer cancel()
-	announce := time.NewTimer(part(g.opts.Grace, announceShare))
+	announce := time.NewTimer(part(grace, announceShare))
 	defer announce.Stop()
 	<-announce.C
 	err := g.callers.Shutdown(ctx)
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -59,6 +59,7 @@
 type Follower interface {
 	Away(now time.Time) []amaranthtide.FeedTable
 	Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage)
+	Vouch(now time.Time, table amaranthtide.FeedTable)
 }
 
 // Options are the parts that an Exchange works with. All but Seeds and Logger are
@@ -307,11 +308,13 @@
 		e.opts.Logger.Warn("rows wanted by a router without an address", "error", err)
 		return
 	}
-	page, ok := e.opts.Rows.Since(amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After))
-	if !ok {
+	table := amaranthtide.FeedTable(m.Table)
+	page, news := e.opts.Rows.Since(table, amaranthtide.RowVersion(m.After))
+	live := !slices.Contains(e.opts.Follower.Away(time.Now()), table)
+	if !news && !live {
 		return
 	}
-	e.publish(message.TopicRows, message.NewRows(amaranthtide.FeedTable(m.Table), page), []netip.AddrPort{sender})
+	e.publish(message.TopicRows, message.NewRows(table, page, live), []netip.AddrPort{sender})
 }
 
 // rows takes rows from another router. While the feed can be read they are not
@@ -326,6 +329,12 @@
 	if !slices.Contains(e.opts.Follower.Away(now), table) {
 		return
 	}
+	if m.Live {
+		e.opts.Follower.Vouch(now, table)
+	}
+	if page.Version == 0 {
+		return
+	}
 	e.opts.Logger.Info("rows taken from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
 		"rows", len(page.Rows), "version", page.Version)
 	e.opts.Follower.Apply(now, table, page)
@@ -356,7 +365,7 @@
 		}
 		*registered = true
 	}
-	page, err := e.opts.Registry.Next(e.ctx, e.opts.RegistryTable, 0)
+	page, err := e.opts.Registry.Next(e.ctx, e.opts.RegistryTable, 0, 0)
 	if err != nil {
 		return err
 	}
