transport/follow, transport/peers: two readers a zone follow the list of servers

Cause: every router followed the list, which changes with each start, stop and cold second of a server.

Change: the two routers of a zone that come first in the order of the table's name read it and pass each page on; the others ask one of them twice a second, which also tells them whether the list can be read, and read it themselves after 1.3 s without an answer. An empty table has a version, so that it is followed and not read again and again.

--- a/feed.go
+++ b/feed.go
@@ -29,10 +29,10 @@
 
 // Feed tells the rows of tables and their changes.
 type Feed interface {
-	// Next returns the whole table if after is 0 or the history after it is gone, and
-	// else waits at most for the given time for changes after that version. A page
+	// Next returns the whole table if after is absent or the history after it is gone,
+	// and else waits at most for the given time for changes after that version. A page
 	// without rows means that there was none. Errors are KindPlatformDown.
-	Next(ctx context.Context, table FeedTable, after RowVersion, wait time.Duration) (FeedPage, error)
+	Next(ctx context.Context, table FeedTable, after Option[RowVersion], wait time.Duration) (FeedPage, error)
 }
 
 // Fact is what one row of the feed says. At most one of the options is set; none is
--- a/protocol/message/rows.go
+++ b/protocol/message/rows.go
@@ -16,7 +16,9 @@
 type Rows struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
 
-	Table   string
+	Table string
+	// After is the version after which the rows are complete.
+	After   uint64
 	Version uint64
 	Whole   bool
 	// Live tells that the sender reads the table's feed itself.
@@ -35,8 +37,8 @@
 }
 
 // NewRows returns the wire form of a page of a table.
-func NewRows(table amaranthtide.FeedTable, page amaranthtide.FeedPage, live bool) *Rows {
-	m := &Rows{Table: string(table), Version: uint64(page.Version), Whole: page.Whole, Live: live, Rows: make([]FeedRow, 0, len(page.Rows))}
+func NewRows(table amaranthtide.FeedTable, after amaranthtide.RowVersion, page amaranthtide.FeedPage, live bool) *Rows {
+	m := &Rows{Table: string(table), After: uint64(after), Version: uint64(page.Version), Whole: page.Whole, Live: live, Rows: make([]FeedRow, 0, len(page.Rows))}
 	for _, row := range page.Rows {
 		m.Rows = append(m.Rows, FeedRow{Key: row.Key, Version: uint64(row.Version), Removed: row.Value == nil, Value: row.Value})
 	}
--- a/state/feed/tables.go
+++ b/state/feed/tables.go
@@ -40,12 +40,13 @@
 	return &Tables{shard.New[amaranthtide.FeedTable, *table]()}
 }
 
-// Version returns the version up to which the table is known; 0 if it is not.
-func (t *Tables) Version(name amaranthtide.FeedTable) amaranthtide.RowVersion {
-	var v amaranthtide.RowVersion
+// Version returns the version up to which the table is known; absent if it is not.
+// An empty table may be known up to version 0.
+func (t *Tables) Version(name amaranthtide.FeedTable) amaranthtide.Option[amaranthtide.RowVersion] {
+	v := amaranthtide.None[amaranthtide.RowVersion]()
 	t.tables.With(name, func(tab *table, ok bool) {
 		if ok {
-			v = tab.version
+			v = amaranthtide.Some(tab.version)
 		}
 	})
 	return v
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -31,14 +31,24 @@
 	// feedWait is how long a call waits for changes. Each call is priced; a call that
 	// was lost with its connection is noticed after this time at the latest.
 	feedWait = 5 * time.Second
+	// relayedWait is the same for the relayed table. Few routers read it, and others
+	// rely on them.
+	relayedWait = 2 * time.Second
 	// retryWait is the mean wait after a failed call. It keeps a router that returns
 	// from a cut well inside the bound of a change.
 	retryWait = 400 * time.Millisecond
 	// awayAfter is how long calls must fail until rows are asked from other routers.
 	awayAfter = 300 * time.Millisecond
 	// vouchAge is how long the word of another router that it can read the list counts.
-	// It covers two questions to other routers.
-	vouchAge = 1200 * time.Millisecond
+	// It covers two questions to other routers, and leaves time to read the list within
+	// the bound for servers that leave.
+	vouchAge = 1300 * time.Millisecond
+	// batchInterval is how long a reader of the relayed table lets changes gather after
+	// a page, since each call is priced and changes come in bursts.
+	batchInterval = 150 * time.Millisecond
+	// turnInterval is how often a router that relies on others looks whether it must
+	// read a table itself.
+	turnInterval = 200 * time.Millisecond
 	// expireInterval is how often lapsed servers are looked at.
 	expireInterval = 250 * time.Millisecond
 )
@@ -48,12 +58,19 @@
 type Options struct {
 	Feed   amaranthtide.Feed
 	Reader amaranthtide.FactReader
-	// Tables are the tables to follow, Listing is the one that lists the servers.
+	// Tables are the tables to follow.
 	Tables        []amaranthtide.FeedTable
-	Listing       amaranthtide.FeedTable
 	Rows          *feed.Tables
 	Configuration *declared.Configuration
 	Servers       *servers.Directory
+	// Relayed is the table that lists the servers. Only some routers of a zone read it
+	// and pass it on, since it changes so often that calls of all routers would cost
+	// too much. It is one of Tables.
+	Relayed amaranthtide.FeedTable
+	// Relay is called with each page of the relayed table that this router has read.
+	Relay func(after amaranthtide.RowVersion, page amaranthtide.FeedPage)
+	// Reads reports whether this router reads the relayed table now.
+	Reads func(now time.Time) bool
 	// Gone is called with each server that has left the list.
 	Gone   func(amaranthtide.BackendServerName)
 	Logger hclog.Logger
@@ -68,6 +85,8 @@
 	// servers and zones tell which row names which server or zone.
 	servers map[rowKey]amaranthtide.BackendServerName
 	zones   map[rowKey]amaranthtide.ZoneName
+	// reading tells whether this router reads the relayed table itself.
+	reading bool
 	// vouched is when another router last said that it can read the list of servers.
 	vouched time.Time
 	// failing holds the time of the first failed call since the last good one.
@@ -119,12 +138,20 @@
 // loop follows one table.
 func (f *Follower) loop(table amaranthtide.FeedTable) {
 	for f.ctx.Err() == nil {
+		if table == f.opts.Relayed && !f.reads(time.Now()) {
+			f.sleep(turnInterval)
+			continue
+		}
 		// A feed that was lost is asked without a wait, so that its return shows soon.
 		wait := feedWait
-		if f.failed(table) {
+		switch {
+		case f.failed(table):
 			wait = 0
+		case table == f.opts.Relayed:
+			wait = relayedWait
 		}
-		page, err := f.opts.Feed.Next(f.ctx, table, f.opts.Rows.Version(table), wait)
+		after := f.opts.Rows.Version(table)
+		page, err := f.opts.Feed.Next(f.ctx, table, after, wait)
 		now := time.Now()
 		if err != nil {
 			f.lost(now, table, err)
@@ -133,7 +160,40 @@
 		}
 		f.returned(now, table)
 		f.Apply(now, table, page)
+		if table == f.opts.Relayed && len(page.Rows) > 0 {
+			f.opts.Relay(after.Or(0), page)
+			f.sleep(batchInterval)
+		}
+	}
+}
+
+// reads reports whether this router must read the relayed table itself: while it is
+// one of its zone's readers, or no reader vouches for the table.
+func (f *Follower) reads(now time.Time) bool {
+	if _, known := f.opts.Rows.Version(f.opts.Relayed).Get(); !known || f.opts.Reads(now) {
+		f.setReading(now, true)
+		return true
 	}
+	f.mu.Lock()
+	vouched := now.Sub(f.vouched) <= vouchAge
+	f.mu.Unlock()
+	f.setReading(now, !vouched)
+	return !vouched
+}
+
+// setReading notes whether this router reads the relayed table itself. What it knew
+// of the feed's failures is of no use once it doesn't.
+func (f *Follower) setReading(now time.Time, reading bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reading == reading {
+		return
+	}
+	f.reading = reading
+	if !reading {
+		delete(f.failing, f.opts.Relayed)
+	}
+	f.settle(now)
 }
 
 func (f *Follower) sleep(d time.Duration) {
@@ -182,7 +242,7 @@
 	}
 	f.failing[table] = now
 	f.settle(now)
-	f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table), "error", err)
+	f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(0), "error", err)
 }
 
 func (f *Follower) returned(now time.Time, table amaranthtide.FeedTable) {
@@ -207,8 +267,8 @@
 // settle tells the listing whether removals can be believed: while this router or
 // another one can read the list of servers, they can.
 func (f *Follower) settle(now time.Time) {
-	_, failing := f.failing[f.opts.Listing]
-	if failing && now.Sub(f.vouched) > vouchAge {
+	_, failing := f.failing[f.opts.Relayed]
+	if (failing || !f.reading) && now.Sub(f.vouched) > vouchAge {
 		f.listing.Lost()
 		return
 	}
@@ -228,11 +288,19 @@
 	return away
 }
 
+// Reading reports whether this router reads the table itself, and can.
+func (f *Follower) Reading(_ time.Time, table amaranthtide.FeedTable) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, failing := f.failing[table]
+	return !failing && (table != f.opts.Relayed || f.reading)
+}
+
 // Vouch notes that another router can read the table's feed.
 func (f *Follower) Vouch(now time.Time, table amaranthtide.FeedTable) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if table == f.opts.Listing {
+	if table == f.opts.Relayed {
 		f.vouched = now
 		f.settle(now)
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -69,10 +69,10 @@
 	Grace time.Duration
 	// Cap bounds the load of an engine.
 	Cap choice.Cap
-	// Tables are the tables that the feed tells. Listing is the one of them that lists
+	// Tables are the tables that the feed tells. Relayed is the one of them that lists
 	// the servers, Registry is the table of the routers.
 	Tables    []amaranthtide.FeedTable
-	Listing   amaranthtide.FeedTable
+	Relayed   amaranthtide.FeedTable
 	Registry  amaranthtide.FeedTable
 	Feed      amaranthtide.Feed
 	Registrar amaranthtide.Registrar
@@ -137,12 +137,12 @@
 		Courier: opts.Courier, Cap: opts.Cap, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
-		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Listing: opts.Listing, Rows: rows, Configuration: g.configuration,
+		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Relayed: opts.Relayed, Relay: g.relay, Reads: g.reads, Rows: rows, Configuration: g.configuration,
 		Servers: g.servers, Gone: g.dispatcher.ServerGone, Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
-		Traffic: load, Follower: g.follower, Rows: rows, Registry: opts.Feed, RegistryTable: opts.Registry,
+		Traffic: load, Follower: g.follower, Rows: rows, Relayed: opts.Relayed, Registry: opts.Feed, RegistryTable: opts.Registry,
 		Registrar: opts.Registrar, Reader: opts.Reader, Routers: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
 	})
 	if err := g.peers.Start(); err != nil {
@@ -180,6 +180,13 @@
 	return srv, nil
 }
 
+// relay and reads are called by the follower, which is built before the exchange.
+func (g *Gateway) relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
+	g.peers.Relay(after, page)
+}
+
+func (g *Gateway) reads(now time.Time) bool { return g.peers.Reads(now) }
+
 // readiness answers the load balancer.
 func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -27,6 +27,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"amaranthtide"
+	"amaranthtide/coordination/placement"
 	"amaranthtide/protocol/message"
 	"amaranthtide/state/feed"
 	"amaranthtide/state/traffic"
@@ -40,8 +41,11 @@
 	heartbeatInterval = time.Second
 	// askInterval is how often a router without the feed asks another router.
 	askInterval = 500 * time.Millisecond
+	// readersPerZone is how many routers of a zone read the relayed table: one may be
+	// down or cut off from the platform without a delay for the others.
+	readersPerZone = 2
 	// registryInterval is how often the registry is read after it was read once.
-	registryInterval = 20 * time.Second
+	registryInterval = time.Minute
 	registryRetry    = time.Second
 	// liveAge is the age of a report up to which its router counts as live.
 	liveAge = 3 * time.Second
@@ -60,6 +64,8 @@
 	Away(now time.Time) []amaranthtide.FeedTable
 	Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage)
 	Vouch(now time.Time, table amaranthtide.FeedTable)
+	// Reading reports whether this router reads the table itself at present.
+	Reading(now time.Time, table amaranthtide.FeedTable) bool
 }
 
 // Options are the parts that an Exchange works with. All but Seeds and Logger are
@@ -73,6 +79,8 @@
 	Traffic  *traffic.Traffic
 	Follower Follower
 	Rows     *feed.Tables
+	// Relayed is the table that the readers of a zone pass on to the others.
+	Relayed amaranthtide.FeedTable
 	// Registry is the feed that holds the table of routers, RegistryTable its name.
 	Registry      amaranthtide.Feed
 	RegistryTable amaranthtide.FeedTable
@@ -204,30 +212,85 @@
 	return out
 }
 
-// ask asks one router for the rows of the tables whose feed is away.
+// ask asks one router for the rows of the tables whose feed is away, and a reader of
+// the zone for those of the relayed table.
 func (e *Exchange) ask(now time.Time) {
 	away := e.opts.Follower.Away(now)
 	e.mu.Lock()
-	if len(away) == 0 || now.Sub(e.askedAt) < askInterval {
+	if now.Sub(e.askedAt) < askInterval {
 		e.mu.Unlock()
 		return
 	}
 	e.askedAt = now
 	e.turn++
+	turn := e.turn
 	to := e.live(now)
 	if len(to) == 0 {
 		to = e.addresses()
 	}
-	turn := e.turn
+	readers := e.readers(now)
 	e.mu.Unlock()
+	for _, table := range away {
+		e.want(table, to, turn)
+	}
+	if !slices.Contains(readers, e.opts.Self.VM) && !slices.Contains(away, e.opts.Relayed) {
+		e.want(e.opts.Relayed, e.addressesOf(readers), turn)
+	}
+}
+
+// want asks one of the routers for the rows of a table.
+func (e *Exchange) want(table amaranthtide.FeedTable, to []netip.AddrPort, turn int) {
 	if len(to) == 0 {
 		return
 	}
-	addr := to[turn%len(to)]
-	for _, table := range away {
-		wanted := &message.RowsWanted{Table: string(table), After: uint64(e.opts.Rows.Version(table))}
-		e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{addr})
+	wanted := &message.RowsWanted{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))}
+	e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{to[turn%len(to)]})
+}
+
+// readers returns the routers of the own zone that read the relayed table.
+func (e *Exchange) readers(now time.Time) []amaranthtide.VMName {
+	names := []amaranthtide.VMName{e.opts.Self.VM}
+	for name, r := range e.routers {
+		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge {
+			names = append(names, name)
+		}
 	}
+	return placement.First(string(e.opts.Relayed), names, readersPerZone)
+}
+
+// Reads reports whether this router is one of the readers of its zone.
+func (e *Exchange) Reads(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.readers(now), e.opts.Self.VM)
+}
+
+func (e *Exchange) addressesOf(names []amaranthtide.VMName) []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []netip.AddrPort
+	for _, name := range names {
+		if r, ok := e.routers[name]; ok {
+			out = append(out, r.addr)
+		}
+	}
+	return out
+}
+
+// Relay passes a page of the relayed table, read after the given version, on to the
+// routers of the zone that don't read it.
+func (e *Exchange) Relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
+	now := time.Now()
+	e.mu.Lock()
+	readers := e.readers(now)
+	var to []netip.AddrPort
+	for name, r := range e.routers {
+		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge && !slices.Contains(readers, name) {
+			to = append(to, r.addr)
+		}
+	}
+	e.mu.Unlock()
+	e.publish(message.TopicRows, message.NewRows(e.opts.Relayed, after, page, true), to)
 }
 
 // live returns the routers that reported lately, in the order of their names.
@@ -308,17 +371,17 @@
 		e.opts.Logger.Warn("rows wanted by a router without an address", "error", err)
 		return
 	}
-	table := amaranthtide.FeedTable(m.Table)
-	page, news := e.opts.Rows.Since(table, amaranthtide.RowVersion(m.After))
-	live := !slices.Contains(e.opts.Follower.Away(time.Now()), table)
+	table, after := amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After)
+	page, news := e.opts.Rows.Since(table, after)
+	live := e.opts.Follower.Reading(time.Now(), table)
 	if !news && !live {
 		return
 	}
-	e.publish(message.TopicRows, message.NewRows(table, page, live), []netip.AddrPort{sender})
+	e.publish(message.TopicRows, message.NewRows(table, after, page, live), []netip.AddrPort{sender})
 }
 
-// rows takes rows from another router. While the feed can be read they are not
-// needed.
+// rows takes rows from another router. While this router reads the table itself they
+// are not needed.
 func (e *Exchange) rows(msg *watermill.Message) {
 	var m message.Rows
 	if !e.decode(msg, &m) {
@@ -326,16 +389,17 @@
 	}
 	now := time.Now()
 	table, page := m.Root()
-	if !slices.Contains(e.opts.Follower.Away(now), table) {
-		return
-	}
 	if m.Live {
 		e.opts.Follower.Vouch(now, table)
 	}
-	if page.Version == 0 {
+	if page.Version == 0 || e.opts.Follower.Reading(now, table) {
 		return
 	}
-	e.opts.Logger.Info("rows taken from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
+	if have := e.opts.Rows.Version(table).Or(0); !page.Whole && amaranthtide.RowVersion(m.After) > have {
+		// Changes before these were missed; the next question brings them.
+		page.Version = have
+	}
+	e.opts.Logger.Debug("rows taken from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
 		"rows", len(page.Rows), "version", page.Version)
 	e.opts.Follower.Apply(now, table, page)
 }
@@ -365,7 +429,7 @@
 		}
 		*registered = true
 	}
-	page, err := e.opts.Registry.Next(e.ctx, e.opts.RegistryTable, 0, 0)
+	page, err := e.opts.Registry.Next(e.ctx, e.opts.RegistryTable, amaranthtide.None[amaranthtide.RowVersion](), 0)
 	if err != nil {
 		return err
 	}
