transport/logsink, transport/gateway: decision log and metrics of a router

Cause: on-call engineers have only logs and metrics; the router wrote neither for a request.

Change: one line for each placement, failed attempt, refusal and end of a request, with the inputs that decided it; a sink that never blocks, spends a budget of bytes a second with a reserve for failures, and counts what it drops; counters and histograms by OpenTelemetry on the metrics address. A test stalls the reader of the log.

--- a/cmd/amaranthtidegw/main.go
+++ b/cmd/amaranthtidegw/main.go
@@ -22,6 +22,7 @@
 
 	"amaranthtide/platform"
 	"amaranthtide/transport/gateway"
+	"amaranthtide/transport/logsink"
 )
 
 const (
@@ -49,26 +50,31 @@
 	if *check {
 		return
 	}
-	logger := hclog.New(&hclog.LoggerOptions{Name: "amaranthtide", Level: cfg.LogLevel, JSONFormat: true, Output: os.Stdout})
-	if err := run(*file, cfg, logger); err != nil {
+	sink := logsink.New(os.Stdout, logsink.Options{BytesPerSecond: cfg.LogBytesPerSecond})
+	logger := hclog.New(&hclog.LoggerOptions{Name: "amaranthtide", Level: cfg.LogLevel, JSONFormat: true, Output: sink.Writer()})
+	err = run(*file, cfg, logger.With("vm", string(cfg.VM)), sink)
+	if err != nil {
 		logger.Error("router failed", "error", err)
+	}
+	sink.Close()
+	if err != nil {
 		os.Exit(statusFailed)
 	}
 }
 
-func run(file string, cfg platform.Settings, logger hclog.Logger) error {
+func run(file string, cfg platform.Settings, logger hclog.Logger, sink *logsink.Sink) error {
 	debug.SetGCPercent(collectPercent)
 	setMemory(cfg)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(stop)
-	opts, closeClients := platform.Options(cfg, logger)
+	opts, closeClients := platform.Options(cfg, logger, sink.Dropped)
 	defer closeClients()
 	g, err := gateway.New(opts)
 	if err != nil {
 		return err
 	}
-	logger.Info("router started", "vm", cfg.VM, "zone", cfg.Zone, "callers", cfg.Callers, "listen", cfg.Listen)
+	logger.Info("router started", "zone", cfg.Zone, "callers", cfg.Callers, "listen", cfg.Listen)
 	r := newReloader(file, cfg, g, logger)
 	defer r.close()
 	<-stop
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -44,8 +44,10 @@
 	Traffic       *traffic.Traffic
 	Courier       amaranthtide.Courier
 	// Cap bounds the load of an engine; SetCap replaces it.
-	Cap    choice.Cap
-	Logger hclog.Logger
+	Cap choice.Cap
+	// Observe is called at the end of each attempt; nil is none.
+	Observe func(req *amaranthtide.Request, err error)
+	Logger  hclog.Logger
 }
 
 // Dispatcher implements amaranthtide.Service. It is concurrent-safe.
@@ -66,6 +68,9 @@
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
+	if opts.Observe == nil {
+		opts.Observe = func(*amaranthtide.Request, error) {}
+	}
 	d := &Dispatcher{
 		opts:    opts,
 		records: shard.New[amaranthtide.BackendServerName, *outlier.Record](),
@@ -122,6 +127,9 @@
 			break
 		}
 		if in := candidates[i].Instance; d.admit(now, in, spec) {
+			d.opts.Logger.Info("request placed", "request", string(req.ID), "attempt", len(tried)+1, "server", string(in.Name),
+				"zone", string(in.Zone), "load", candidates[i].Load, "avoided", candidates[i].Avoid, "cold", now.Before(in.ColdUntil),
+				"candidates", len(candidates), "revision", uint64(d.opts.Configuration.Revision()))
 			return in, nil
 		}
 		candidates = append(candidates[:i], candidates[i+1:]...)
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -72,9 +72,10 @@
 	default:
 		r.d.note(in.Name, func(rec *outlier.Record) { rec.Failed(now) })
 	}
+	r.d.opts.Observe(r.req, err)
 	if err != nil {
-		r.d.opts.Logger.Debug("attempt failed", "request", r.req.ID, "server", in.Name, "kind", kind.String(),
-			"age", now.Sub(r.req.Arrived), "shown", r.answer.shown, "error", err)
+		r.d.opts.Logger.Warn("attempt failed", "request", string(r.req.ID), "server", string(in.Name), "kind", kind.String(),
+			"ran", kind.Reply().Ran.String(), "ageMillis", now.Sub(r.req.Arrived).Milliseconds(), "shown", r.answer.shown, "error", err.Error())
 	}
 	return err
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"amaranthtide/transport/direct"
 	"amaranthtide/transport/follow"
 	"amaranthtide/transport/mesh"
+	"amaranthtide/transport/metrics"
 	"amaranthtide/transport/peers"
 )
 
@@ -52,8 +53,8 @@
 	drainShare = 0.94
 )
 
-// Options are what a router is made of. All but Seeds, Metrics and Logger are
-// required.
+// Options are what a router is made of. All but Seeds, Metrics, Dropped and Logger
+// are required.
 type Options struct {
 	// Entry is the router's own entry in the registry. Its address is where other
 	// routers reach it.
@@ -78,6 +79,10 @@
 	Registrar amaranthtide.Registrar
 	Reader    amaranthtide.FactReader
 	Courier   amaranthtide.Courier
+	// Metrics is where metrics are served; the zero value serves none.
+	Metrics netip.AddrPort
+	// Dropped tells how many log lines were dropped; nil is none.
+	Dropped func() uint64
 	// Front returns the handler of callers' requests.
 	Front  func(FrontParts) http.Handler
 	Logger hclog.Logger
@@ -100,8 +105,10 @@
 	mesh          *mesh.Mesh
 	peers         *peers.Exchange
 
+	meter    *metrics.Meter
 	callers  *http.Server
 	ready    *http.Server
+	metrics  *http.Server
 	draining atomic.Bool
 	// grace is Options.Grace, which a reload may replace.
 	grace atomic.Int64
@@ -118,6 +125,9 @@
 	g := &Gateway{opts: opts, configuration: declared.New(), servers: servers.New()}
 	g.grace.Store(int64(opts.Grace))
 	var err error
+	if g.meter, err = metrics.New(); err != nil {
+		return nil, err
+	}
 	g.mesh, err = mesh.New(mesh.Options{Listen: opts.Entry.Address, Key: []byte(opts.FleetKey), Logger: opts.Logger.Named("mesh")})
 	if err != nil {
 		return nil, err
@@ -132,9 +142,12 @@
 func (g *Gateway) start() error {
 	opts, logger := g.opts, g.opts.Logger
 	rows, load := feed.New(), traffic.New()
+	if err := g.gauges(); err != nil {
+		return err
+	}
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: load,
-		Courier: opts.Courier, Cap: opts.Cap, Logger: logger.Named("dispatch"),
+		Courier: opts.Courier, Cap: opts.Cap, Observe: g.meter.Attempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Relayed: opts.Relayed, Relay: g.relay, Reads: g.reads, Rows: rows, Configuration: g.configuration,
@@ -149,17 +162,45 @@
 		return err
 	}
 	g.follower.Start()
-	front := opts.Front(FrontParts{Configuration: g.configuration, Service: g.dispatcher, Draining: g.draining.Load})
+	service := &observed{Service: g.dispatcher, meter: g.meter, logger: logger.Named("request")}
+	front := opts.Front(FrontParts{Configuration: g.configuration, Service: service, Draining: g.draining.Load})
 	var err error
 	if g.callers, err = g.serve(opts.Callers, front); err != nil {
 		return err
 	}
 	mux := chi.NewRouter()
 	mux.Get(opts.ReadyPath, g.readiness)
-	g.ready, err = g.serve(opts.Ready, mux)
+	if g.ready, err = g.serve(opts.Ready, mux); err != nil || !opts.Metrics.IsValid() {
+		return err
+	}
+	scrape := chi.NewRouter()
+	scrape.Handle("/metrics", g.meter.Handler())
+	g.metrics, err = g.serve(opts.Metrics, scrape)
 	return err
 }
 
+// gauges registers the values that are read when metrics are collected.
+func (g *Gateway) gauges() error {
+	gauges := map[string]struct {
+		description string
+		read        func() int64
+	}{
+		"amaranthtide.configuration.revision": {"Revision of the configuration in force.", func() int64 { return int64(g.configuration.Revision()) }},
+		"amaranthtide.servers":                {"Backend servers that may get work.", func() int64 { return int64(g.servers.Len()) }},
+		"amaranthtide.feeds.away":             {"Tables of the platform's feed that can't be read.", func() int64 { return int64(len(g.follower.Away(time.Now()))) }},
+		"amaranthtide.routers.live":           {"Other routers that have reported lately.", func() int64 { return int64(g.peers.Live(time.Now())) }},
+	}
+	for name, v := range gauges {
+		if err := g.meter.Gauge(name, v.description, v.read); err != nil {
+			return err
+		}
+	}
+	if g.opts.Dropped == nil {
+		return nil
+	}
+	return g.meter.Counter("amaranthtide.log.dropped", "Log lines that were dropped.", func() int64 { return int64(g.opts.Dropped()) })
+}
+
 func (g *Gateway) serve(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
@@ -236,7 +277,7 @@
 
 // stop closes the parts that were started, in reverse order.
 func (g *Gateway) stop() {
-	for _, srv := range []*http.Server{g.callers, g.ready} {
+	for _, srv := range []*http.Server{g.callers, g.ready, g.metrics} {
 		if srv != nil {
 			_ = srv.Close()
 		}
@@ -249,4 +290,6 @@
 	}
 	_ = g.mesh.Close()
 	g.wg.Wait()
+	_ = g.meter.Close(context.Background()) // there is nothing to flush
+	g.opts.Logger.Info("router stopped")
 }
--- /dev/null
+++ b/transport/logsink/sink_test.go
@@ -0,0 +1,105 @@
+package logsink_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"amaranthtide/transport/logsink"
+)
+
+// output is an output that can be stalled.
+type output struct {
+	stall chan struct{}
+	mu    sync.Mutex
+	buf   bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	if o.stall != nil {
+		<-o.stall
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+func newLogger(s *logsink.Sink) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: s.Writer()})
+}
+
+// Guards against requests that wait for a log whose reader has stopped.
+func TestStalledReaderBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	out := &output{stall: make(chan struct{})}
+	s := logsink.New(out, logsink.Options{BytesPerSecond: 1 << 30})
+	logger := newLogger(s)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 5000 {
+			logger.Info("request placed", "request", "r")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("got: a log call that waits for the reader, want: dropped lines")
+	}
+	is.True(s.Dropped() > 0)
+	close(out.stall)
+	s.Close()
+}
+
+// Guards against successes that use up the budget of failures.
+func TestFailuresGoBeforeSuccesses(t *testing.T) {
+	is := is.New(t)
+	out := &output{}
+	s := logsink.New(out, logsink.Options{BytesPerSecond: 2000})
+	logger := newLogger(s)
+	for range 200 {
+		logger.Info("request ended")
+	}
+	logger.Warn("request failed", "request", "r-17")
+	s.Close()
+	is.True(s.Dropped() > 0)
+	is.True(strings.Contains(out.String(), "r-17"))
+	is.True(strings.Count(out.String(), "request ended") > 0)
+}
+
+// Guards against a log that hides that lines are missing.
+func TestDroppedLinesAreCounted(t *testing.T) {
+	is := is.New(t)
+	out := &output{}
+	s := logsink.New(out, logsink.Options{BytesPerSecond: 100})
+	newLogger(s).Info(strings.Repeat("x", 1000))
+	is.Equal(s.Dropped(), uint64(1))
+	for deadline := time.Now().Add(20 * time.Second); !strings.Contains(out.String(), `"dropped":1`); {
+		if time.Now().After(deadline) {
+			t.Fatalf("got: %q, want: a line with the count", out.String())
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.Close()
+}
+
+// Reports the cost of one line at the caller.
+func BenchmarkLine(b *testing.B) {
+	s := logsink.New(&output{}, logsink.Options{})
+	defer s.Close()
+	logger := newLogger(s)
+	for b.Loop() {
+		logger.Info("request placed", "request", "9c41d07be2a35f68", "server", "i-7f3a91c2", "load", 4, "ageMillis", 12)
+	}
+}
--- a/transport/metrics/meter.go
+++ b/transport/metrics/meter.go
@@ -159,9 +159,12 @@
 	return amaranthtide.KindOf(err).String()
 }
 
-// target has the values of models and routes only: names of workspaces would make
-// 19,000 series.
+// target has the values of services, models and routes of the table only: names of
+// workspaces would make 19,000 series, and those of declared routes thousands.
 func target(req *amaranthtide.Request) string {
+	if req.Service != "" {
+		return string(req.Service)
+	}
 	if req.Model != "" {
 		return string(req.Model)
 	}
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -265,6 +265,13 @@
 	return slices.Contains(e.readers(now), e.opts.Self.VM)
 }
 
+// Live returns the number of other routers that reported lately.
+func (e *Exchange) Live(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.live(now))
+}
+
 func (e *Exchange) addressesOf(names []amaranthtide.VMName) []netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
