state/traffic: what a server says of its load counts; tests of the new packages

Cause: reports of other routers lag by a quarter of a second, and an isolated router has none.

Change: the load of a server is the larger of the reported sum and what the server said itself within 0.3 s.

--- /dev/null
+++ b/cmd/amaranthtide/explain.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"amaranthtide"
+	"amaranthtide/cmd/internal/explain"
+)
+
+// explainCommand registers the command that prints the story of a request.
+func explainCommand(app *kingpin.Application) (string, action) {
+	cmd := app.Command("explain", "Print what the logs of routers tell of one request.")
+	id := cmd.Arg("id", "Request identifier.").Required().String()
+	files := cmd.Arg("file", "Log files.").Required().ExistingFiles()
+	return cmd.FullCommand(), func(_ context.Context, s streams) error {
+		return explain.Run(s.out, amaranthtide.RequestID(*id), *files)
+	}
+}
--- a/cmd/amaranthtide/main.go
+++ b/cmd/amaranthtide/main.go
@@ -11,6 +11,7 @@
 //	amaranthtide demo --json
 //	amaranthtide bench --profile latawiec --duration 60s --plot bench.png
 //	amaranthtide bench --direct
+//	amaranthtide explain 9c41d07be2a35f68 vm-1.log vm-2.log
 //
 // The exit status is 0 for success, 1 for a failure and 2 for bad flags; docs/operators.md
 // has those of the operators' commands, which live in cmd/internal/operator.
@@ -40,10 +41,11 @@
 // action runs a subcommand after its flags were read.
 type action func(ctx context.Context, s streams) error
 
-// commands register the demo and the measurements. Each returns its name and its action.
+// commands register the demo, the measurements and the reading of logs. Each returns its name and its action.
 var commands = []func(app *kingpin.Application) (string, action){
 	demoCommand,
 	benchCommand,
+	explainCommand,
 }
 
 func main() {
--- /dev/null
+++ b/cmd/internal/explain/explain.go
@@ -0,0 +1,70 @@
+// Package explain is the command that prints the story of one request from the logs
+// of routers.
+//
+// # Usage
+//
+//	err := explain.Run(os.Stdout, "9c41d07be2a35f68", []string{"vm-1.log", "vm-2.log"})
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+
+	"amaranthtide"
+	"amaranthtide/protocol/logline"
+)
+
+// maxLine bounds a line of a log.
+const maxLine = 1 << 20
+
+// Run prints the story of a request. The error is KindBadRequest if a file can't be
+// read or no line tells of the request.
+func Run(w io.Writer, id amaranthtide.RequestID, files []string) error {
+	var lines []logline.Line
+	bad := 0
+	for _, name := range files {
+		more, skipped, err := read(name)
+		if err != nil {
+			return amaranthtide.Errorf(amaranthtide.KindBadRequest, "log %s: %w", name, err)
+		}
+		lines = append(lines, more...)
+		bad += skipped
+	}
+	story := logline.Story(id, lines)
+	if len(story) == 0 {
+		return amaranthtide.Errorf(amaranthtide.KindBadRequest, "no line of %d files tells of request %s; %d lines could not be read", len(files), id, bad)
+	}
+	start := story[0].Time
+	for _, l := range story {
+		mark := " "
+		if l.Request == id {
+			mark = ">"
+		}
+		if _, err := fmt.Fprintf(w, "%s %9.3f s  %-20s %-5s %s\n", mark, l.Time.Sub(start).Seconds(), l.VM, l.Level, l); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "%d lines, %d could not be read\n", len(lines), bad)
+	return err
+}
+
+func read(name string) (lines []logline.Line, bad int, err error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = f.Close() }()
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		l, err := logline.Parse(scanner.Bytes())
+		if err != nil {
+			bad++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	return lines, bad, scanner.Err()
+}
--- /dev/null
+++ b/coordination/choice/choice_test.go
@@ -0,0 +1,90 @@
+package choice_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/choice"
+)
+
+var limit = choice.Cap{Multiple: 2, Extra: 2}
+
+func engines(loads ...int) []choice.Candidate {
+	var out []choice.Candidate
+	for i, load := range loads {
+		out = append(out, choice.Candidate{Load: load, Instance: amaranthtide.Instance{
+			Name: amaranthtide.BackendServerName(fmt.Sprintf("e%d", i)), Zone: amaranthtide.ZoneName(fmt.Sprintf("z%d", i%2)),
+		}})
+	}
+	return out
+}
+
+// Guards against a chat that moves between engines although its own has room, on
+// routers that list the engines in another order.
+func TestChatStaysAtItsEngine(t *testing.T) {
+	is := is.New(t)
+	list := engines(0, 0, 0, 0, 0)
+	first, ok := choice.Engine("chat", list, limit)
+	is.True(ok)
+	name := list[first].Instance.Name
+	list[0], list[4] = list[4], list[0]
+	again, _ := choice.Engine("chat", list, limit)
+	is.Equal(list[again].Instance.Name, name)
+}
+
+// Guards against an engine above the cap while another one has room, and against a
+// request that is refused although engines exist.
+func TestCapHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := engines(rapid.SliceOfN(rapid.IntRange(0, 40), 1, 12).Draw(t, "loads")...)
+		i, ok := choice.Engine(amaranthtide.ChatID(rapid.String().Draw(t, "chat")), list, limit)
+		if !ok {
+			t.Fatal("got: no engine, want: one")
+		}
+		sum, least := 1, list[0].Load
+		for _, c := range list {
+			sum += c.Load
+			least = min(least, c.Load)
+		}
+		most := limit.Multiple*float64(sum)/float64(len(list)) + limit.Extra
+		if float64(list[i].Load+1) > most && list[i].Load != least {
+			t.Fatalf("got: load %d above the cap %.1f, want: under it or the least load %d", list[i].Load+1, most, least)
+		}
+	})
+}
+
+// Guards against requests to a server that fails while others are sound, and against
+// no service at all when all of them fail.
+func TestAvoidedServersAreTheLastResort(t *testing.T) {
+	is := is.New(t)
+	list := engines(9, 0)
+	list[1].Avoid = true
+	i, _ := choice.Engine("chat", list, limit)
+	is.Equal(i, 0)
+	i, _ = choice.Plain("z1", 0, list)
+	is.Equal(i, 0)
+	list[0].Avoid = true
+	i, ok := choice.Plain("z1", 0, list)
+	is.True(ok)
+	is.Equal(i, 1)
+	_, ok = choice.Engine("chat", nil, limit)
+	is.True(!ok)
+	_, ok = choice.Plain("z1", 0, nil)
+	is.True(!ok)
+}
+
+// Guards against bytes between zones while the own zone has a server that is as free,
+// and against a server that gets more work only because it is near.
+func TestPlainPrefersTheOwnZone(t *testing.T) {
+	is := is.New(t)
+	for draw := range uint64(8) {
+		i, _ := choice.Plain("z1", draw, engines(1, 1, 1))
+		is.Equal(i, 1)
+		i, _ = choice.Plain("z1", draw, engines(1, 2, 2))
+		is.Equal(i, 0)
+	}
+}
--- /dev/null
+++ b/coordination/coldrate/limiter_test.go
@@ -0,0 +1,82 @@
+package coldrate_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/coordination/coldrate"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func routers(n int) []amaranthtide.VMName {
+	var out []amaranthtide.VMName
+	for i := range n {
+		out = append(out, amaranthtide.VMName(fmt.Sprintf("vm-%d", i)))
+	}
+	return out
+}
+
+// Guards against a fleet that overruns a cold server in any second, whatever the
+// number of routers and however hard each of them presses.
+func TestFleetKeepsTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := routers(rapid.IntRange(1, 40).Draw(t, "routers"))
+		perSecond := rapid.Float64Range(2, 30).Draw(t, "perSecond")
+		var fleet []*coldrate.Limiter
+		for _, name := range names {
+			l := coldrate.New(name)
+			l.SetRouters(names)
+			fleet = append(fleet, l)
+		}
+		var sent []time.Duration
+		for at := time.Duration(0); at < 4*time.Second; at += 20 * time.Millisecond {
+			for _, l := range fleet {
+				if l.Take(start.Add(at), "e1", perSecond) {
+					sent = append(sent, at)
+				}
+			}
+		}
+		// A server bears half more than its rate, and five requests at once.
+		most := int(1.5*perSecond + 5)
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at-sent[i] < time.Second {
+					n++
+				}
+			}
+			if n > most {
+				t.Fatalf("got: %d requests within a second, want: at most %d", n, most)
+			}
+		}
+		if len(sent) < int(perSecond) {
+			t.Fatalf("got: %d requests in 4 s at %.1f a second, want: more", len(sent), perSecond)
+		}
+	})
+}
+
+// Guards against a router that sends to cold servers before it knows the others.
+func TestNothingBeforeTheRegistryIsKnown(t *testing.T) {
+	is := is.New(t)
+	l := coldrate.New("vm-1")
+	is.True(!l.Take(start, "e1", 9))
+}
+
+// Guards against a share that is kept after the server has gone and come back with
+// another rate.
+func TestRateFollowsTheDeclaration(t *testing.T) {
+	is := is.New(t)
+	l := coldrate.New("vm-0")
+	l.SetRouters(routers(1))
+	is.True(l.Take(start, "e1", 1))
+	is.True(!l.Take(start.Add(100*time.Millisecond), "e1", 1))
+	l.Forget("e1")
+	is.True(l.Take(start.Add(100*time.Millisecond), "e1", 100))
+	is.True(l.Take(start.Add(120*time.Millisecond), "e1", 100))
+}
--- a/instance.go
+++ b/instance.go
@@ -38,9 +38,6 @@
 type ServerReport struct {
 	InFlight int
 	Waiting  int
-	Slots    int
-	// Leaving tells that the server asks for no further requests on the connection.
-	Leaving bool
 }
 
 // Courier sends attempts to backend servers. Implementations translate requests to
--- /dev/null
+++ b/state/feed/tables_test.go
@@ -0,0 +1,104 @@
+package feed_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"amaranthtide"
+	"amaranthtide/state/feed"
+)
+
+const table = amaranthtide.FeedTable("t")
+
+func row(key string, version amaranthtide.RowVersion, value string) amaranthtide.FeedRow {
+	return amaranthtide.FeedRow{Table: table, Key: key, Version: version, Value: []byte(value)}
+}
+
+// Guards against a table that is read again and again because it is empty.
+func TestEmptyTableIsKnown(t *testing.T) {
+	is := is.New(t)
+	f := feed.New()
+	_, known := f.Version(table).Get()
+	is.True(!known)
+	f.Apply(table, amaranthtide.FeedPage{Whole: true})
+	v, known := f.Version(table).Get()
+	is.True(known)
+	is.Equal(v, amaranthtide.RowVersion(0))
+}
+
+// Guards against rows that a whole page lacks but that stay, and against old rows
+// that undo newer ones.
+func TestApply(t *testing.T) {
+	is := is.New(t)
+	f := feed.New()
+	f.Apply(table, amaranthtide.FeedPage{Whole: true, Version: 5, Rows: []amaranthtide.FeedRow{row("a", 3, "1"), row("b", 5, "1")}})
+	is.Equal(len(f.Apply(table, amaranthtide.FeedPage{Version: 5, Rows: []amaranthtide.FeedRow{row("a", 2, "0")}})), 0)
+	news := f.Apply(table, amaranthtide.FeedPage{Whole: true, Version: 8, Rows: []amaranthtide.FeedRow{row("b", 7, "2")}})
+	is.Equal(len(news), 2)
+	is.Equal(news[0].Key, "b")
+	is.Equal(news[1].Key, "a")
+	is.True(news[1].Value == nil)
+	is.Equal(len(f.Apply(table, amaranthtide.FeedPage{Version: 6, Rows: []amaranthtide.FeedRow{row("a", 6, "late")}})), 0)
+}
+
+// Guards against a router that takes rows from another one and ends up with another
+// table, whatever it had missed.
+func TestSinceBringsTheSameTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, copied := feed.New(), feed.New()
+		rows := make(map[string]string)
+		for version := range rapid.IntRange(1, 60).Draw(t, "changes") {
+			v := amaranthtide.RowVersion(version + 1)
+			key := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))
+			page := amaranthtide.FeedPage{Version: v, Rows: []amaranthtide.FeedRow{{Table: table, Key: key, Version: v}}}
+			delete(rows, key)
+			if rapid.Bool().Draw(t, "put") {
+				page.Rows[0].Value = []byte(fmt.Sprint(v))
+				rows[key] = fmt.Sprint(v)
+			}
+			source.Apply(table, page)
+			if rapid.IntRange(0, 4).Draw(t, "pull") == 0 {
+				pull(source, copied)
+			}
+		}
+		pull(source, copied)
+		whole, _ := copied.Since(table, 0)
+		got := make(map[string]string)
+		for _, r := range whole.Rows {
+			if r.Value != nil {
+				got[r.Key] = string(r.Value)
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(rows) {
+			t.Fatalf("got: %v, want: %v", got, rows)
+		}
+	})
+}
+
+func pull(source, copied *feed.Tables) {
+	if page, ok := source.Since(table, copied.Version(table).Or(0)); ok {
+		copied.Apply(table, page)
+	}
+}
+
+// Guards against a memory of removals that grows without bound: a router that missed
+// forgotten removals gets the whole table.
+func TestForgottenRemovals(t *testing.T) {
+	is := is.New(t)
+	f := feed.New()
+	version := amaranthtide.RowVersion(0)
+	for i := range 3000 {
+		key := fmt.Sprint(i)
+		version++
+		f.Apply(table, amaranthtide.FeedPage{Version: version, Rows: []amaranthtide.FeedRow{row(key, version, "x")}})
+		version++
+		f.Apply(table, amaranthtide.FeedPage{Version: version, Rows: []amaranthtide.FeedRow{{Table: table, Key: key, Version: version}}})
+	}
+	page, ok := f.Since(table, 1)
+	is.True(ok)
+	is.True(page.Whole)
+	is.Equal(len(page.Rows), 0)
+}
--- a/state/servers/directory.go
+++ b/state/servers/directory.go
@@ -19,18 +19,16 @@
 
 // Directory is concurrent-safe. Use New.
 type Directory struct {
+	// mu orders the calls of Set.
 	mu       sync.Mutex
 	services *shard.Map[amaranthtide.ServiceName, []amaranthtide.Instance]
-	names    *shard.Map[amaranthtide.BackendServerName, amaranthtide.Instance]
+	count    atomic.Int64
 	out      atomic.Pointer[amaranthtide.Set[amaranthtide.ZoneName]]
 }
 
 // New returns an empty Directory.
 func New() *Directory {
-	d := &Directory{
-		services: shard.New[amaranthtide.ServiceName, []amaranthtide.Instance](),
-		names:    shard.New[amaranthtide.BackendServerName, amaranthtide.Instance](),
-	}
+	d := &Directory{services: shard.New[amaranthtide.ServiceName, []amaranthtide.Instance]()}
 	none := amaranthtide.NewSet[amaranthtide.ZoneName]()
 	d.out.Store(&none)
 	return d
@@ -41,22 +39,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	byService := make(map[amaranthtide.ServiceName][]amaranthtide.Instance)
-	known := amaranthtide.NewSet[amaranthtide.BackendServerName]()
 	for _, in := range all {
 		byService[in.Service] = append(byService[in.Service], in)
-		known.Add(in.Name)
-		d.names.Set(in.Name, in)
-	}
-	var gone []amaranthtide.BackendServerName
-	d.names.Range(func(name amaranthtide.BackendServerName, _ amaranthtide.Instance) bool {
-		if !known.Has(name) {
-			gone = append(gone, name)
-		}
-		return true
-	})
-	for _, name := range gone {
-		d.names.Delete(name)
 	}
+	d.count.Store(int64(len(all)))
 	var empty []amaranthtide.ServiceName
 	d.services.Range(func(name amaranthtide.ServiceName, _ []amaranthtide.Instance) bool {
 		if _, ok := byService[name]; !ok {
@@ -84,11 +70,5 @@
 	return list
 }
 
-// Usable reports whether the server may get work at this moment.
-func (d *Directory) Usable(name amaranthtide.BackendServerName) bool {
-	in, ok := d.names.Get(name)
-	return ok && !d.Out(in.Zone)
-}
-
 // Len returns the number of servers.
-func (d *Directory) Len() int { return d.names.Len() }
+func (d *Directory) Len() int { return int(d.count.Load()) }
--- /dev/null
+++ b/state/servers/directory_test.go
@@ -0,0 +1,27 @@
+package servers_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/state/servers"
+)
+
+// Guards against servers that stay listed after they have gone, under their own or
+// another service, and against work for a zone that is out of service.
+func TestDirectory(t *testing.T) {
+	is := is.New(t)
+	d := servers.New()
+	d.Set([]amaranthtide.Instance{{Name: "e1", Service: "a", Zone: "z1"}, {Name: "e2", Service: "b", Zone: "z2"}})
+	is.Equal(len(d.Of("a")), 1)
+	d.Set([]amaranthtide.Instance{{Name: "e2", Service: "a", Zone: "z2"}})
+	is.Equal(len(d.Of("b")), 0)
+	is.Equal(d.Of("a")[0].Name, amaranthtide.BackendServerName("e2"))
+	is.Equal(d.Len(), 1)
+	is.True(!d.Out("z2"))
+	d.SetOut(amaranthtide.NewSet[amaranthtide.ZoneName]("z2"))
+	is.True(d.Out("z2"))
+	is.True(!d.Out("z1"))
+}
--- a/state/traffic/traffic.go
+++ b/state/traffic/traffic.go
@@ -25,17 +25,27 @@
 	// MaxAge is the age from which a router's report no longer counts: its requests
 	// have mostly ended by then, or it is gone.
 	MaxAge = 2 * time.Second
+	// toldAge is the age up to which a server's own word counts. It is newer than the
+	// reports only for about one of their intervals.
+	toldAge = 300 * time.Millisecond
 	// sumAge bounds how often the reports are summed up. A sum walks all reports.
 	sumAge = 50 * time.Millisecond
 )
 
-// Traffic is concurrent-safe. Use New.
+// Traffic is concurrent-safe. Use New. It implements amaranthtide.ServerObserver.
 type Traffic struct {
 	own    *shard.Map[amaranthtide.BackendServerName, int]
+	told   *shard.Map[amaranthtide.BackendServerName, told]
 	roster *roster.Roster
 	sums   atomic.Pointer[sums]
 }
 
+// told is the load that a server told of itself.
+type told struct {
+	at   time.Time
+	load int
+}
+
 // sums holds the reported loads of all other routers at one time.
 type sums struct {
 	at    time.Time
@@ -44,7 +54,11 @@
 
 // New returns a Traffic without requests.
 func New() *Traffic {
-	return &Traffic{own: shard.New[amaranthtide.BackendServerName, int](), roster: roster.New()}
+	return &Traffic{
+		own:    shard.New[amaranthtide.BackendServerName, int](),
+		told:   shard.New[amaranthtide.BackendServerName, told](),
+		roster: roster.New(),
+	}
 }
 
 // Begin counts a request that is sent to the server.
@@ -78,10 +92,23 @@
 // Forget drops reports that were received before the given time.
 func (t *Traffic) Forget(before time.Time) { t.roster.Forget(before) }
 
-// Load returns the requests that all routers have at the server, as far as is known.
+// ServerReported implements amaranthtide.ServerObserver.
+func (t *Traffic) ServerReported(now time.Time, server amaranthtide.BackendServerName, r amaranthtide.ServerReport) {
+	t.told.Set(server, told{now, r.InFlight + r.Waiting})
+}
+
+// ServerGone drops what a server that has left told of itself.
+func (t *Traffic) ServerGone(server amaranthtide.BackendServerName) { t.told.Delete(server) }
+
+// Load returns the requests that all routers have at the server, as far as is known:
+// what the routers report, or what the server said itself if that is more.
 func (t *Traffic) Load(now time.Time, server amaranthtide.BackendServerName) int {
 	own, _ := t.own.Get(server)
-	return own + t.reported(now).loads[server]
+	load := own + t.reported(now).loads[server]
+	if last, ok := t.told.Get(server); ok && now.Sub(last.at) <= toldAge {
+		load = max(load, last.load)
+	}
+	return load
 }
 
 func (t *Traffic) reported(now time.Time) *sums {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -78,7 +78,9 @@
 	Feed      amaranthtide.Feed
 	Registrar amaranthtide.Registrar
 	Reader    amaranthtide.FactReader
-	Courier   amaranthtide.Courier
+	// Courier returns what sends requests to servers. It tells the observer what
+	// servers say of themselves.
+	Courier func(amaranthtide.ServerObserver) amaranthtide.Courier
 	// Metrics is where metrics are served; the zero value serves none.
 	Metrics netip.AddrPort
 	// Dropped tells how many log lines were dropped; nil is none.
@@ -147,11 +149,11 @@
 	}
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: load,
-		Courier: opts.Courier, Cap: opts.Cap, Observe: g.meter.Attempt, Logger: logger.Named("dispatch"),
+		Courier: opts.Courier(load), Cap: opts.Cap, Observe: g.meter.Attempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Relayed: opts.Relayed, Relay: g.relay, Reads: g.reads, Rows: rows, Configuration: g.configuration,
-		Servers: g.servers, Gone: g.dispatcher.ServerGone, Logger: logger.Named("follow"),
+		Servers: g.servers, Gone: g.serverGone(load), Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
@@ -221,6 +223,14 @@
 	return srv, nil
 }
 
+// serverGone returns what is done when a server has left the list.
+func (g *Gateway) serverGone(load *traffic.Traffic) func(amaranthtide.BackendServerName) {
+	return func(name amaranthtide.BackendServerName) {
+		g.dispatcher.ServerGone(name)
+		load.ServerGone(name)
+	}
+}
+
 // relay and reads are called by the follower, which is built before the exchange.
 func (g *Gateway) relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
 	g.peers.Relay(after, page)
