--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -52,7 +52,7 @@
 			return i, true
 		}
 	}
-	return least(candidates, usable, func(i int) int { return candidates[i].Load }), true
+	return least(usable, func(i int) int { return candidates[i].Load }), true
 }
 
 // of returns the cap over the usable candidates.
@@ -74,7 +74,7 @@
 	// Rotation spreads ties over the servers.
 	turn := int(draw % uint64(len(usable)))
 	usable = slices.Concat(usable[turn:], usable[:turn])
-	return least(candidates, usable, func(i int) int {
+	return least(usable, func(i int) int {
 		load := 2 * candidates[i].Load
 		if candidates[i].Instance.Zone != zone {
 			load++
@@ -101,7 +101,7 @@
 	return all
 }
 
-func least(candidates []Candidate, of []int, load func(i int) int) int {
+func least(of []int, load func(i int) int) int {
 	return slices.MinFunc(of, func(a, b int) int { return cmp.Compare(load(a), load(b)) })
 }
 
--- /dev/null
+++ b/transport/upstream/pool_test.go
@@ -0,0 +1,259 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/transport/upstream"
+)
+
+// server is a scripted server: serve handles each connection.
+type server struct {
+	listener net.Listener
+	accepted atomic.Int32
+	requests atomic.Int32
+}
+
+func newServer(t *testing.T, serve func(s *server, conn net.Conn, r *bufio.Reader)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: l}
+	go s.run(serve)
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *server) run(serve func(s *server, conn net.Conn, r *bufio.Reader)) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.accepted.Add(1)
+		go serve(s, conn, bufio.NewReader(conn))
+	}
+}
+
+// read reads one request and returns its id, or "" at the end of the connection.
+func (s *server) read(r *bufio.Reader) string {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return ""
+	}
+	s.requests.Add(1)
+	return req.Header.Get("Id")
+}
+
+func (s *server) addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func exchange(s *server, id string) upstream.Exchange {
+	return upstream.Exchange{
+		Addr: s.addr(), Method: http.MethodPost,
+		Message: []byte("POST / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"),
+		Match:   func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func newPool(t *testing.T) *upstream.Pool {
+	t.Helper()
+	p := upstream.New(upstream.Options{DialTimeout: 5 * time.Second, MaxIdle: time.Minute})
+	t.Cleanup(p.Close)
+	return p
+}
+
+// get sends a request and returns the body of its answer.
+func get(p *upstream.Pool, e upstream.Exchange) (string, error) {
+	resp, err := p.Do(context.Background(), e)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	return string(body), err
+}
+
+// Guards against a connection for each request.
+func TestConnectionsAreKept(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		for id := s.read(r); id != ""; id = s.read(r) {
+			_, _ = io.WriteString(conn, answer(id, "x"))
+		}
+	})
+	p := newPool(t)
+	for i := range 5 {
+		body, err := get(p, exchange(s, fmt.Sprint(i)))
+		is.NoErr(err)
+		is.Equal(body, "x")
+	}
+	is.Equal(s.accepted.Load(), int32(1))
+}
+
+// Guards against a request that is sent twice because its kept connection died: the
+// server may have run it.
+func TestRequestIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, answer(s.read(r), "x"))
+		s.read(r) // and no answer
+	})
+	p := newPool(t)
+	_, err := get(p, exchange(s, "1"))
+	is.NoErr(err)
+	_, err = get(p, exchange(s, "2"))
+	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindOutcomeUnknown)
+	is.Equal(s.requests.Load(), int32(2))
+}
+
+// Guards against a request that fails because a kept connection was closed while it
+// idled: nothing was sent on it, so another one serves.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{}, 8)
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(conn, answer(s.read(r), "x"))
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	p := newPool(t)
+	for i := range 3 {
+		_, err := get(p, exchange(s, fmt.Sprint(i)))
+		is.NoErr(err)
+		<-closed
+	}
+	is.Equal(s.requests.Load(), int32(3))
+}
+
+// Guards against an answer of another request that is taken for the answer of this
+// one, whether it comes before the request or in its place.
+func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	first := make(chan struct{})
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		for id := s.read(r); id != ""; id = s.read(r) {
+			if id == "1" {
+				_, _ = io.WriteString(conn, answer("1", "one")+answer("1", "one more"))
+				close(first)
+				continue
+			}
+			_, _ = io.WriteString(conn, answer("1", "late")+answer(id, "right"))
+		}
+	})
+	p := newPool(t)
+	body, err := get(p, exchange(s, "1"))
+	is.NoErr(err)
+	is.Equal(body, "one")
+	<-first
+	body, err = get(p, exchange(s, "2"))
+	is.NoErr(err)
+	is.Equal(body, "right")
+}
+
+// Guards against a body without a length that was reset and looks complete, and
+// against one that ended in order and looks cut.
+func TestBodyWithoutLength(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		id := s.read(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nwhole")
+		if id == "reset" {
+			time.Sleep(50 * time.Millisecond) // the reset must not overtake the bytes
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	})
+	p := newPool(t)
+	body, err := get(p, exchange(s, "fine"))
+	is.NoErr(err)
+	is.Equal(body, "whole")
+	_, err = get(p, exchange(s, "reset"))
+	is.True(err != nil)
+}
+
+// Guards against a kept connection on which the rest of a request is still due: a
+// server that answered early would read the next request as that rest.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		_, _ = io.WriteString(conn, answer(req.Header.Get("Id"), "early"))
+	})
+	p := newPool(t)
+	for i := range 2 {
+		e := exchange(s, fmt.Sprint(i))
+		const size = 32 << 20 // more than the socket buffers hold
+		e.Message = []byte("POST / HTTP/1.1\r\nHost: h\r\nId: " + fmt.Sprint(i) + fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("x", size))
+		body, err := get(p, e)
+		is.NoErr(err)
+		is.Equal(body, "early")
+	}
+	is.Equal(s.accepted.Load(), int32(2))
+}
+
+// Guards against "may have run" for a request of which no byte was sent, and against
+// "not sent" for bytes that are no answer.
+func TestErrorsTellWhetherItWasSent(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		s.read(r)
+		_, _ = io.WriteString(conn, "these are no bytes of HTTP\r\n\r\n")
+		_ = conn.Close()
+	})
+	p := newPool(t)
+	_, err := get(p, exchange(s, "1"))
+	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindBackendFailed)
+
+	_ = s.listener.Close()
+	_, err = get(p, exchange(s, "2"))
+	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindNoBackend)
+}
+
+// Guards against a server that works on after its caller has left, and against a
+// time limit that reads as the caller's leaving.
+func TestEndOfContext(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{}, 2)
+	s := newServer(t, func(s *server, _ net.Conn, r *bufio.Reader) {
+		s.read(r)
+		s.read(r) // returns when the connection ends
+		gone <- struct{}{}
+	})
+	p := newPool(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := p.Do(ctx, exchange(s, "1"))
+	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindCanceled)
+	<-gone
+	ctx, cancel = context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = p.Do(ctx, exchange(s, "2"))
+	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindOutcomeUnknown)
+	<-gone
+}
