coordination/choice, coordination/retry/shared: fetch moved prompts, share the retry budget

Cause: a chat that overflows, or whose engine was replaced, was read anew at the next engine: the largest price, 0.52 a 1,000 tokens, against about 0.1 for the transfer of its memory. Retries earned a tenth of each router's own few requests and none at the start; silent servers were noticed at the client's deadline.

Change: the engine that gets a chat away from its first one, or that is young, is told from which engine to fetch the prompt. Retries have fixed shares of the operators' ratio and slack. A server that is silent for two objectives counts as failing, and a request that may run again goes elsewhere. Dials end after 200 ms.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -17,6 +17,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"amaranthtide"
 	"amaranthtide/coordination/placement"
@@ -55,6 +56,40 @@
 	return least(usable, func(i int) int { return candidates[i].Load }), true
 }
 
+// youngAge is how long after its start an engine may lack the prompts of its chats,
+// which another engine served until then.
+const youngAge = 30 * time.Second
+
+// Source returns the engine from which another one can fetch the prompt of a chat
+// that it may not hold, and false if there is none. It is the first engine of the
+// chat's order but for the one that gets the request, and old ones go before young
+// ones: chats overflow from there, and were served there before a young engine took
+// its place. Engines that are leaving still give what they hold.
+func Source(now time.Time, chat amaranthtide.ChatID, to amaranthtide.Instance, engines []Candidate) (amaranthtide.Instance, bool) {
+	of := make([]int, 0, len(engines))
+	for i := range engines {
+		if !engines[i].Avoid {
+			of = append(of, i)
+		}
+	}
+	order := ranked(chat, engines, of)
+	if len(order) > 0 && engines[order[0]].Instance.Name == to.Name && !young(now, to) {
+		return amaranthtide.Instance{}, false
+	}
+	order = slices.DeleteFunc(order, func(i int) bool { return engines[i].Instance.Name == to.Name })
+	if len(order) == 0 {
+		return amaranthtide.Instance{}, false
+	}
+	for _, i := range order {
+		if !young(now, engines[i].Instance) {
+			return engines[i].Instance, true
+		}
+	}
+	return engines[order[0]].Instance, true
+}
+
+func young(now time.Time, in amaranthtide.Instance) bool { return now.Sub(in.Started) <= youngAge }
+
 // of returns the cap over the usable candidates.
 func (c Cap) of(candidates []Candidate, usable []int) float64 {
 	sum := 1 // the request itself
--- a/coordination/registration/registration.go
+++ b/coordination/registration/registration.go
@@ -13,7 +13,7 @@
 //	r.Remove(now, "engine-1")
 //	r.Lost()        // no router can read the list
 //	r.Returned(now) // this or another router can
-//	usable := r.Usable(now)
+//	servers := r.Listed(now)
 //
 // A Registration is not concurrent-safe.
 package registration
@@ -123,11 +123,12 @@
 	return now.Sub(r.returned) >= LapseGrace
 }
 
-// Usable returns the servers that may get work, ordered by name.
-func (r *Registration) Usable(now time.Time) []amaranthtide.Instance {
+// Listed returns the servers of the list, ordered by name. Those that are leaving may
+// get no work.
+func (r *Registration) Listed(now time.Time) []amaranthtide.Instance {
 	out := make([]amaranthtide.Instance, 0, len(r.servers))
 	for _, e := range r.servers {
-		if !e.Leaving && !r.expired(now, e) {
+		if !r.expired(now, e) {
 			out = append(out, e.Instance)
 		}
 	}
--- a/coordination/registration/registration_test.go
+++ b/coordination/registration/registration_test.go
@@ -1,6 +1,7 @@
 package registration_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,11 @@
 	return amaranthtide.Instance{Name: name, Service: "s", Zone: "a", Slots: 4, Started: start}
 }
 
+// usable returns the listed servers that may get work.
+func usable(r *registration.Registration, now time.Time) []amaranthtide.Instance {
+	return slices.DeleteFunc(r.Listed(now), func(in amaranthtide.Instance) bool { return in.Leaving })
+}
+
 func names(in []amaranthtide.Instance) []amaranthtide.BackendServerName {
 	out := []amaranthtide.BackendServerName{}
 	for _, i := range in {
@@ -32,7 +38,7 @@
 	r := registration.New()
 	r.Put(at(0), server("e1"))
 	is.True(r.Remove(at(time.Second), "e1"))
-	is.Equal(names(r.Usable(at(time.Second))), []amaranthtide.BackendServerName{})
+	is.Equal(names(usable(r, at(time.Second))), []amaranthtide.BackendServerName{})
 }
 
 // Guards against taking all servers for dead when their entries lapse in an outage of
@@ -46,11 +52,11 @@
 	r.Returned(at(10 * time.Second))
 	is.True(!r.Remove(at(10*time.Second), "e1"))
 	is.True(!r.Remove(at(10*time.Second), "e2"))
-	is.Equal(len(r.Usable(at(11*time.Second))), 2)
+	is.Equal(len(usable(r, at(11*time.Second))), 2)
 	r.Put(at(11*time.Second), server("e2"))
 
 	end := at(10*time.Second + registration.LapseGrace)
-	is.Equal(names(r.Usable(end)), []amaranthtide.BackendServerName{"e2"})
+	is.Equal(names(usable(r, end)), []amaranthtide.BackendServerName{"e2"})
 	is.Equal(r.Expire(end), []amaranthtide.BackendServerName{"e1"})
 	is.Equal(len(r.Expire(end)), 0)
 }
@@ -87,13 +93,13 @@
 	leaving := server("e1")
 	leaving.Leaving = true
 	is.True(r.Put(at(0), leaving))
-	is.Equal(len(r.Usable(at(0))), 0)
+	is.Equal(len(usable(r, at(0))), 0)
 
 	born := server("e1")
 	born.Started = at(time.Minute)
 	is.True(r.Put(at(time.Minute), born))
 	is.True(!r.Put(at(time.Minute), leaving))
-	is.Equal(len(r.Usable(at(time.Minute))), 1)
+	is.Equal(len(usable(r, at(time.Minute))), 1)
 }
 
 // Guards against a list that was read whole and keeps servers that it lacks.
@@ -102,5 +108,5 @@
 	r := registration.New()
 	r.Put(at(0), server("e1"))
 	r.Replace(at(time.Second), []amaranthtide.Instance{server("e2")})
-	is.Equal(names(r.Usable(at(time.Second))), []amaranthtide.BackendServerName{"e2"})
+	is.Equal(names(usable(r, at(time.Second))), []amaranthtide.BackendServerName{"e2"})
 }
--- a/instance.go
+++ b/instance.go
@@ -29,6 +29,9 @@
 	Address netip.AddrPort
 	// Deadline is when the server may stop its work.
 	Deadline time.Time
+	// FetchFrom is a server that may hold the prompt in memory, from which this one can
+	// fetch it; the zero value is none.
+	FetchFrom netip.AddrPort
 	// ResumeAfter is the identifier of the last event that the caller has; empty
 	// unless the attempt continues a stream.
 	ResumeAfter string
--- a/state/servers/directory.go
+++ b/state/servers/directory.go
@@ -1,5 +1,5 @@
-// Package servers holds the backend servers that may get work and the zones that
-// are out of service, for readers on the request path.
+// Package servers holds the listed backend servers and the zones that are out of
+// service, for readers on the request path.
 //
 // # Usage
 //
@@ -64,7 +64,8 @@
 // Out reports whether the servers of a zone get no work.
 func (d *Directory) Out(zone amaranthtide.ZoneName) bool { return d.out.Load().Has(zone) }
 
-// Of returns the servers of a service, those of zones out of service included.
+// Of returns the servers of a service, those that are leaving and those of zones out
+// of service included.
 func (d *Directory) Of(service amaranthtide.ServiceName) []amaranthtide.Instance {
 	list, _ := d.services.Get(service)
 	return list
--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"amaranthtide"
 	"amaranthtide/protocol/completion"
@@ -19,6 +20,8 @@
 	// holding tells that the chunks of the present attempt go into held.
 	holding bool
 	shown   bool
+	// silence runs until the answer of the present attempt begins.
+	silence *time.Timer
 	scanner completion.Scanner
 	// partial holds the bytes of an event in progress of a resumable stream.
 	partial []byte
@@ -39,6 +42,7 @@
 // Head implements amaranthtide.AnswerWriter.
 func (a *answer) Head(h amaranthtide.AnswerHead) error {
 	a.holding = false
+	a.silence.Stop()
 	if a.shown {
 		if h.Status != http.StatusOK {
 			return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "status %d for a stream that goes on", h.Status)
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,7 @@
 	"amaranthtide/coordination/choice"
 	"amaranthtide/coordination/coldrate"
 	"amaranthtide/coordination/outlier"
-	"amaranthtide/coordination/retry"
+	"amaranthtide/coordination/retry/shared"
 	"amaranthtide/state/declared"
 	"amaranthtide/state/servers"
 	"amaranthtide/state/shard"
@@ -45,6 +46,8 @@
 	Courier       amaranthtide.Courier
 	// Cap bounds the load of an engine; SetCap replaces it.
 	Cap choice.Cap
+	// Retries bounds the retries of one service over the fleet.
+	Retries shared.Limit
 	// Observe is called at the end of each attempt; nil is none.
 	Observe func(req *amaranthtide.Request, err error)
 	Logger  hclog.Logger
@@ -54,8 +57,10 @@
 type Dispatcher struct {
 	opts    Options
 	records *shard.Map[amaranthtide.BackendServerName, *outlier.Record]
-	budgets *shard.Map[amaranthtide.ServiceName, *retry.Budget]
+	budgets *shard.Map[amaranthtide.ServiceName, *shared.Budget]
 	limit   atomic.Pointer[choice.Cap]
+	// routers is the number of registered routers.
+	routers atomic.Int64
 
 	mu   sync.Mutex
 	cold *coldrate.Limiter
@@ -74,7 +79,7 @@
 	d := &Dispatcher{
 		opts:    opts,
 		records: shard.New[amaranthtide.BackendServerName, *outlier.Record](),
-		budgets: shard.New[amaranthtide.ServiceName, *retry.Budget](),
+		budgets: shard.New[amaranthtide.ServiceName, *shared.Budget](),
 		cold:    coldrate.New(opts.VM),
 	}
 	d.SetCap(opts.Cap)
@@ -89,6 +94,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cold.SetRouters(routers)
+	d.routers.Store(int64(len(routers)))
 }
 
 // ServerGone drops what is held of a server that has left the list.
@@ -107,7 +113,7 @@
 			spec = declared
 		}
 	}
-	d.earn(req.Service)
+	d.earn(time.Now(), req.Service)
 	run := &run{d: d, req: req, spec: spec, w: w, tried: amaranthtide.NewSet[amaranthtide.BackendServerName]()}
 	return run.serve(ctx)
 }
@@ -147,16 +153,37 @@
 	return d.cold.Take(now, in.Name, spec.ColdPerSecond)
 }
 
+// source returns where an engine can fetch the prompt of a chat that it may not hold;
+// the zero value is none.
+func (d *Dispatcher) source(now time.Time, req *amaranthtide.Request, to amaranthtide.Instance) netip.AddrPort {
+	if req.Chat == "" {
+		return netip.AddrPort{}
+	}
+	var others []choice.Candidate
+	for _, in := range d.opts.Servers.Of(req.Service) {
+		others = append(others, choice.Candidate{Instance: in, Avoid: d.avoid(now, in.Name)})
+	}
+	from, ok := choice.Source(now, req.Chat, to, others)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return from.Address
+}
+
+func (d *Dispatcher) avoid(now time.Time, server amaranthtide.BackendServerName) bool {
+	avoid := false
+	d.records.With(server, func(r *outlier.Record, ok bool) { avoid = ok && r.Avoid(now) })
+	return avoid
+}
+
 func (d *Dispatcher) candidates(now time.Time, service amaranthtide.ServiceName, tried amaranthtide.Set[amaranthtide.BackendServerName]) []choice.Candidate {
 	instances := d.opts.Servers.Of(service)
 	out := make([]choice.Candidate, 0, len(instances))
 	for _, in := range instances {
-		if tried.Has(in.Name) || d.opts.Servers.Out(in.Zone) {
+		if tried.Has(in.Name) || in.Leaving || d.opts.Servers.Out(in.Zone) {
 			continue
 		}
-		c := choice.Candidate{Instance: in, Load: d.opts.Traffic.Load(now, in.Name)}
-		d.records.With(in.Name, func(r *outlier.Record, ok bool) { c.Avoid = ok && r.Avoid(now) })
-		out = append(out, c)
+		out = append(out, choice.Candidate{Instance: in, Load: d.opts.Traffic.Load(now, in.Name), Avoid: d.avoid(now, in.Name)})
 	}
 	return out
 }
@@ -172,18 +199,20 @@
 	})
 }
 
-func (d *Dispatcher) earn(service amaranthtide.ServiceName) {
-	d.budgets.Update(service, func(b *retry.Budget, ok bool) (*retry.Budget, bool) {
+func (d *Dispatcher) earn(now time.Time, service amaranthtide.ServiceName) {
+	routers := int(d.routers.Load())
+	d.budgets.Update(service, func(b *shared.Budget, ok bool) (*shared.Budget, bool) {
 		if !ok {
-			b = &retry.Budget{}
+			b = shared.New(now, d.opts.Retries, routers)
 		}
-		b.Earn()
+		b.SetRouters(now, routers)
+		b.Earn(now)
 		return b, true
 	})
 }
 
-func (d *Dispatcher) takeRetry(service amaranthtide.ServiceName) bool {
+func (d *Dispatcher) takeRetry(now time.Time, service amaranthtide.ServiceName) bool {
 	taken := false
-	d.budgets.With(service, func(b *retry.Budget, ok bool) { taken = ok && b.Take() })
+	d.budgets.With(service, func(b *shared.Budget, ok bool) { taken = ok && b.Take(now) })
 	return taken
 }
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -2,12 +2,23 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"amaranthtide"
 	"amaranthtide/coordination/outlier"
 )
 
+const (
+	// silentObjectives is after how many objectives of the request a server counts as
+	// silent. An answer that begins later is late anyway.
+	silentObjectives = 2
+	// minSilence keeps short objectives apart from the pauses of a busy server.
+	minSilence = 250 * time.Millisecond
+)
+
+var errSilent = errors.New("no answer has begun")
+
 // maxDials bounds the servers that one request tries to reach, so that a request
 // with no reachable server is refused soon.
 const maxDials = 4
@@ -55,9 +66,13 @@
 	r.d.opts.Traffic.Begin(in.Name)
 	defer r.d.opts.Traffic.End(in.Name)
 	r.req.Attempt = amaranthtide.NewAttemptID()
-	err := r.d.opts.Courier.Send(ctx, amaranthtide.Attempt{
+	attempt := amaranthtide.Attempt{
 		Request: r.req, Server: in.Name, Address: in.Address, Deadline: r.req.Deadline, ResumeAfter: r.answer.lastID(),
-	}, &r.answer)
+	}
+	if r.spec.Engine {
+		attempt.FetchFrom = r.d.source(time.Now(), r.req, in)
+	}
+	err := r.exchange(ctx, in.Name, attempt)
 	if err == nil && r.answer.holding {
 		err = amaranthtide.Errorf(amaranthtide.KindBackendFailed, "server %s answered status %d", in.Name, r.answer.held.head.Status)
 	}
@@ -80,6 +95,28 @@
 	return err
 }
 
+// exchange sends the attempt. An attempt that may be followed by another one ends if
+// its answer does not begin in time; any silence counts against the server.
+func (r *run) exchange(ctx context.Context, server amaranthtide.BackendServerName, a amaranthtide.Attempt) error {
+	patience := max(silentObjectives*r.req.Objective, minSilence)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	more := r.mayRepeat(1) && len(r.d.candidates(time.Now(), r.req.Service, r.tried)) > 0
+	silence := time.AfterFunc(patience, func() {
+		r.d.note(server, func(rec *outlier.Record) { rec.Failed(time.Now()) })
+		if more {
+			cancel(errSilent)
+		}
+	})
+	r.answer.silence = silence
+	err := r.d.opts.Courier.Send(ctx, a, &r.answer)
+	silence.Stop()
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "server %s: %w for %s", server, errSilent, patience)
+	}
+	return err
+}
+
 // again reports whether another server may be asked after err.
 func (r *run) again(ctx context.Context, err error) bool {
 	if ctx.Err() != nil {
@@ -91,10 +128,10 @@
 		return r.dials < maxDials
 	case amaranthtide.KindFull, amaranthtide.KindLeaving, amaranthtide.KindNotOwner:
 		// The server did not run it; the send counts against the budget all the same.
-		return r.mayRefer() && r.d.takeRetry(r.req.Service)
+		return r.mayRefer() && r.d.takeRetry(time.Now(), r.req.Service)
 	case amaranthtide.KindTruncated, amaranthtide.KindBackendFailed, amaranthtide.KindOutcomeUnknown:
 		r.sent++
-		return r.mayRepeat(0) && r.d.takeRetry(r.req.Service)
+		return r.mayRepeat(0) && r.d.takeRetry(time.Now(), r.req.Service)
 	default:
 		return false
 	}
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -374,7 +374,7 @@
 		out.Add(zone)
 	}
 	f.opts.Servers.SetOut(out)
-	f.opts.Servers.Set(f.listing.Usable(now))
+	f.opts.Servers.Set(f.listing.Listed(now))
 	for _, name := range gone {
 		f.opts.Gone(name)
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -28,6 +28,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/choice"
+	"amaranthtide/coordination/retry/shared"
 	"amaranthtide/state/declared"
 	"amaranthtide/state/feed"
 	"amaranthtide/state/servers"
@@ -70,6 +71,8 @@
 	Grace time.Duration
 	// Cap bounds the load of an engine.
 	Cap choice.Cap
+	// Retries bounds the retries of one service over the fleet.
+	Retries shared.Limit
 	// Tables are the tables that the feed tells. Relayed is the one of them that lists
 	// the servers, Registry is the table of the routers.
 	Tables    []amaranthtide.FeedTable
@@ -149,7 +152,7 @@
 	}
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: load,
-		Courier: opts.Courier(load), Cap: opts.Cap, Observe: g.meter.Attempt, Logger: logger.Named("dispatch"),
+		Courier: opts.Courier(load), Cap: opts.Cap, Retries: opts.Retries, Observe: g.meter.Attempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Relayed: opts.Relayed, Relay: g.relay, Reads: g.reads, Rows: rows, Configuration: g.configuration,
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -31,7 +31,7 @@
 )
 
 const (
-	defaultDialTimeout = 300 * time.Millisecond
+	defaultDialTimeout = 200 * time.Millisecond
 	defaultMaxIdle     = 2 * time.Second
 	// idlePerServer bounds the kept connections to one server, since all routers
 	// share what a server accepts.
@@ -42,7 +42,7 @@
 
 // Options are the settings of a Pool. Zero values mean the defaults.
 type Options struct {
-	// DialTimeout bounds the opening of a connection; 0 is 300 ms, a hundred round
+	// DialTimeout bounds the opening of a connection; 0 is 200 ms, many round
 	// trips between zones.
 	DialTimeout time.Duration
 	// MaxIdle is the age from which an idle connection isn't used any more; 0 is 2 s.
