--- a/cmd/amaranthtidegw/reloader.go
+++ b/cmd/internal/gatewaydaemon/reloader.go
@@ -1,4 +1,4 @@
-package main
+package gatewaydaemon
 
 import (
 	"os"
--- a/cmd/internal/scenario/process_test.go
+++ b/cmd/internal/scenario/process_test.go
@@ -43,6 +43,9 @@
 	cmd.Dir = ts.MkAbs(".")
 	cmd.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"))
 	cmd.Stdout, cmd.Stderr = log, log
+	// The kernel sends SIGHUP to the stopped processes of a group whose shell has ended,
+	// as when the tests run in the background. A group of its own is not affected.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	ts.Check(cmd.Start())
 	p := &process{cmd: cmd, done: make(chan error, 1)}
 	go p.run(log)
--- /dev/null
+++ b/cmd/internal/soak/backend.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"amaranthtide/platform/standin"
+)
+
+const (
+	serviceApp    = "app"
+	serviceEngine = "llm"
+	// headerRouter names the router that a caller used. Routers pass it on.
+	headerRouter = "Soak-Router"
+	headerID     = "Request-Id"
+	headerResume = "Last-Event-Id"
+	streamEvents = 8
+	eventPause   = 15 * time.Millisecond
+	workTime     = 5 * time.Millisecond
+)
+
+// backend is a server behind a link.
+type backend struct {
+	*standin.Server
+	name, service, zone string
+	link                *link
+	soak                *soak
+
+	mu sync.Mutex
+	// leaving and out are when the server was last told to leave, and when its zone
+	// was taken out of service; zero if they are not.
+	leaving, out time.Time
+}
+
+func (s *soak) newBackend(service, zone string) (*backend, error) {
+	s.mu.Lock()
+	s.servers++
+	name := fmt.Sprintf("i-%s-%d", service, s.servers)
+	out := s.out[zone]
+	s.mu.Unlock()
+	b := &backend{Server: standin.NewServer(name), name: name, service: service, zone: zone, soak: s, out: out}
+	var err error
+	if b.link, err = newLink(b.Addr()); err != nil {
+		b.Server.Close()
+		return nil, err
+	}
+	b.SetHandle(b.serve)
+	s.list(b, "ready")
+	return b, nil
+}
+
+// list writes the server's entry to the store.
+func (s *soak) list(b *backend, state string) {
+	entry := b.Entry(b.service, b.zone, state)
+	entry["address"] = b.link.addr().String()
+	entry["born"] = s.began.UnixMilli()
+	s.store.Put("servers", b.name, entry)
+}
+
+func (b *backend) close() {
+	b.link.close()
+	b.Server.Close()
+}
+
+// serve answers a request that runs here, and checks that it may.
+func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	b.arrived(time.Now(), r)
+	if b.service == serviceEngine {
+		b.stream(w, r)
+		return
+	}
+	time.Sleep(workTime)
+	_, _ = fmt.Fprint(w, answerText(r.Header.Get(headerID), b.name))
+}
+
+func answerText(id, server string) string { return id + " by " + server }
+
+func eventText(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n)
+}
+
+func (b *backend) stream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from := 0
+	if text := r.Header.Get(headerResume); text != "" {
+		var err error
+		if from, err = strconv.Atoi(text); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	for n := from + 1; n <= streamEvents; n++ {
+		_, _ = fmt.Fprint(w, eventText(r.Header.Get(headerID), n))
+		_ = http.NewResponseController(w).Flush() // the caller may have left
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPause):
+		}
+	}
+}
+
+func (b *backend) arrived(now time.Time, r *http.Request) {
+	id, via := r.Header.Get(headerID), r.Header.Get(headerRouter)
+	b.soak.ran(now, id, r.URL.Path)
+	if r.Header.Get("Credential") != "" || r.Header.Get("Tenant") != workspace {
+		b.soak.violate(now, "unasked", "request %s reached %s with the workspace %q", id, b.name, r.Header.Get("Tenant"))
+	}
+	b.mu.Lock()
+	leaving, out := b.leaving, b.out
+	b.mu.Unlock()
+	if !leaving.IsZero() && now.Sub(leaving) > drainBound && b.soak.accountable(now, via, leaving) {
+		b.soak.violate(now, "drain", "request %s reached %s through %s %s after it had left", id, b.name, via, now.Sub(leaving))
+	}
+	if !out.IsZero() && now.Sub(out) > outBound && b.soak.accountable(now, via, out) {
+		b.soak.violate(now, "zoneOut", "request %s reached %s through %s %s after its zone was out", id, b.name, via, now.Sub(out))
+	}
+}
--- /dev/null
+++ b/cmd/internal/soak/caller.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"amaranthtide/platform/standin"
+)
+
+const (
+	callPause   = 25 * time.Millisecond
+	callTimeout = 4 * time.Second
+)
+
+// paths are the routes of standin.Config by what may be repeated.
+var paths = []string{"/list/1", "/pay/1", "/chat/1", "/draft/1"}
+
+// caller sends requests to one router at a time and keeps its connections.
+type caller struct {
+	soak   *soak
+	client *http.Client
+	random *rand.Rand
+	number int
+	sent   int
+}
+
+func (s *soak) newCaller(number int) *caller {
+	return &caller{
+		soak: s, number: number, random: rand.New(rand.NewPCG(s.opts.Seed, uint64(number)+1)),
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+	}
+}
+
+// run sends requests until ctx ends.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.call(ctx, c.soak.routers[c.random.IntN(len(c.soak.routers))], paths[c.random.IntN(len(paths))])
+		time.Sleep(callPause)
+	}
+}
+
+// call sends one request, checks its answer and reports whether it was served.
+func (c *caller) call(ctx context.Context, r *router, path string) bool {
+	c.sent++
+	id := fmt.Sprintf("%d-%d-%d", c.soak.opts.Seed, c.number, c.sent)
+	key, keyGone := c.soak.key(c.random)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.callers.String()+path, nil)
+	if err != nil {
+		c.soak.violate(time.Now(), "soak", "request: %v", err)
+		return false
+	}
+	req.Host = "shop.example"
+	req.Header.Set(headerID, id)
+	req.Header.Set(headerRouter, r.name)
+	req.Header.Set("Credential", key)
+	req.Header.Set("Deadline-Ms", "2000")
+	req.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:100,%x:10", c.random.IntN(6), c.sent))
+	sent := time.Now()
+	resp, err := c.client.Transport.RoundTrip(req)
+	if err != nil {
+		c.soak.count("no answer")
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		c.soak.count("cut answer")
+		return false
+	}
+	c.soak.count(fmt.Sprint(resp.StatusCode))
+	c.check(sent, id, path, r, keyGone, resp, string(body))
+	return resp.StatusCode == http.StatusOK
+}
+
+// check judges a complete answer.
+func (c *caller) check(sent time.Time, id, path string, r *router, keyGone time.Time, resp *http.Response, body string) {
+	now := time.Now()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		c.checkBody(now, id, path, resp, body)
+		if !keyGone.IsZero() && sent.Sub(keyGone) > changeBound && c.soak.accountable(sent, r.name, keyGone) {
+			c.soak.violate(now, "change", "request %s was served by %s with a key that was taken away %s before", id, r.name, sent.Sub(keyGone))
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		if strings.HasPrefix(path, "/pay/") {
+			c.soak.refused(id)
+		}
+		if resp.Header.Get("Retry-After") == "" {
+			c.soak.violate(now, "refusal", "request %s was refused by %s without a time to come back", id, r.name)
+		}
+	case http.StatusNotFound:
+		c.soak.violate(now, "denied", "request %s got 404 from %s for a route of all versions", id, r.name)
+	case http.StatusUnauthorized:
+		if keyGone.IsZero() {
+			c.soak.violate(now, "denied", "request %s got 401 from %s with a key of all versions", id, r.name)
+		}
+	}
+}
+
+func (c *caller) checkBody(now time.Time, id, path string, resp *http.Response, body string) {
+	if path == "/chat/1" || path == "/draft/1" {
+		var want strings.Builder
+		for n := 1; n <= streamEvents; n++ {
+			want.WriteString(eventText(id, n))
+		}
+		if body != want.String() {
+			c.soak.violate(now, "stream", "request %s got a complete stream that is not its own: %q", id, body)
+		}
+		return
+	}
+	_, server, _ := strings.Cut(body, " by ")
+	if body != answerText(id, server) || resp.Header.Get("Response-Stamp") != standin.Signature(server) {
+		c.soak.violate(now, "answer", "request %s got %q signed %q", id, body, resp.Header.Get("Response-Stamp"))
+	}
+}
--- /dev/null
+++ b/cmd/internal/soak/faults.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// fault is a disruption. It does its work over some time and returns when it has
+// healed. Several run at once.
+type fault struct {
+	name string
+	do   func(s *soak, ctx context.Context, random *rand.Rand)
+}
+
+var faults = []fault{
+	{"killRouter", func(s *soak, ctx context.Context, random *rand.Rand) {
+		r := s.anyRouter(random)
+		r.signal(time.Now(), syscall.SIGKILL)
+		s.pause(ctx, random, 100*time.Millisecond, time.Second)
+		s.restart(r)
+	}},
+	{"stopRouter", func(s *soak, ctx context.Context, random *rand.Rand) {
+		r := s.anyRouter(random)
+		r.signal(time.Now(), syscall.SIGTERM)
+		s.pause(ctx, random, grace, grace+time.Second)
+		s.restart(r)
+	}},
+	{"freezeRouter", func(s *soak, ctx context.Context, random *rand.Rand) {
+		r := s.anyRouter(random)
+		r.signal(time.Now(), syscall.SIGSTOP)
+		s.pause(ctx, random, 500*time.Millisecond, 4*time.Second)
+		r.signal(time.Now(), syscall.SIGCONT)
+	}},
+	{"reloadRouters", func(s *soak, ctx context.Context, random *rand.Rand) {
+		for _, r := range s.routers {
+			r.signal(time.Now(), syscall.SIGHUP)
+			s.pause(ctx, random, 0, 200*time.Millisecond)
+		}
+	}},
+	{"killAllRouters", func(s *soak, ctx context.Context, random *rand.Rand) {
+		for _, r := range s.routers {
+			r.signal(time.Now(), syscall.SIGKILL)
+		}
+		s.pause(ctx, random, 100*time.Millisecond, time.Second)
+		for _, r := range s.routers {
+			s.restart(r)
+		}
+	}},
+	{"storeRefuses", func(s *soak, ctx context.Context, random *rand.Rand) {
+		status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusInternalServerError}
+		s.disturbStore(time.Now())
+		s.store.SetStatus(status[random.IntN(len(status))])
+		s.pause(ctx, random, 500*time.Millisecond, 5*time.Second)
+		s.store.SetStatus(0)
+		s.disturbStore(time.Now())
+	}},
+	{"storeForgets", func(s *soak, _ context.Context, _ *rand.Rand) { s.store.Forget() }},
+	{"storeLink", func(s *soak, ctx context.Context, random *rand.Rand) {
+		r := s.anyRouter(random)
+		r.disturbed(time.Now())
+		r.store.set(linkFault(1 + random.IntN(int(linkFaults)-1)))
+		s.pause(ctx, random, 500*time.Millisecond, 5*time.Second)
+		r.store.set(linkFine)
+		r.disturbed(time.Now())
+	}},
+	{"serverLink", func(s *soak, ctx context.Context, random *rand.Rand) {
+		b := s.anyBackend(random)
+		b.link.set(linkFault(1 + random.IntN(int(linkFaults)-1)))
+		s.pause(ctx, random, 500*time.Millisecond, 4*time.Second)
+		b.link.set(linkFine)
+	}},
+	{"replaceServer", func(s *soak, ctx context.Context, random *rand.Rand) {
+		s.replace(ctx, random)
+	}},
+	{"zoneOut", func(s *soak, ctx context.Context, random *rand.Rand) {
+		zone := zones[random.IntN(len(zones))]
+		if !s.takeZone(zone) {
+			return
+		}
+		s.pause(ctx, random, 2*time.Second, 7*time.Second)
+		s.returnZone(zone)
+	}},
+	{"changeConfiguration", func(s *soak, ctx context.Context, random *rand.Rand) {
+		for range 1 + random.IntN(5) {
+			s.nextVersion()
+			s.pause(ctx, random, 50*time.Millisecond, 500*time.Millisecond)
+		}
+	}},
+}
+
+// loop draws faults until ctx ends.
+func (s *soak) loop(ctx context.Context, number uint64) {
+	random := rand.New(rand.NewPCG(s.opts.Seed, 1000+number))
+	for ctx.Err() == nil {
+		f := faults[random.IntN(len(faults))]
+		s.event(fmt.Sprintf("%s begins", f.name))
+		f.do(s, ctx, random)
+		s.event(fmt.Sprintf("%s ends", f.name))
+		s.pause(ctx, random, 0, 3*time.Second)
+	}
+}
+
+// pause waits for a time between least and most, or until ctx ends.
+func (s *soak) pause(ctx context.Context, random *rand.Rand, least, most time.Duration) {
+	timer := time.NewTimer(least + time.Duration(random.Int64N(int64(most-least)+1)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *soak) anyRouter(random *rand.Rand) *router { return s.routers[random.IntN(len(s.routers))] }
+
+func (s *soak) restart(r *router) {
+	r.mu.Lock()
+	ended := r.ended
+	r.mu.Unlock()
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		r.signal(time.Now(), syscall.SIGKILL)
+		<-ended
+	}
+	if err := r.start(time.Now()); err != nil {
+		s.violate(time.Now(), "soak", "start %s: %v", r.name, err)
+	}
+}
+
+// replace starts a new server and lets an old one of its service leave.
+func (s *soak) replace(ctx context.Context, random *rand.Rand) {
+	old := s.anyBackend(random)
+	fresh, err := s.newBackend(old.service, old.zone)
+	if err != nil {
+		s.violate(time.Now(), "soak", "server: %v", err)
+		return
+	}
+	s.mu.Lock()
+	i := slices.Index(s.backends, old)
+	if i < 0 {
+		s.mu.Unlock()
+		fresh.close()
+		return
+	}
+	s.backends[i] = fresh
+	s.left = append(s.left, old)
+	s.mu.Unlock()
+	if random.IntN(2) == 0 {
+		s.list(old, "draining")
+	} else {
+		s.store.Put("servers", old.name, nil)
+	}
+	old.mu.Lock()
+	old.leaving = time.Now()
+	old.mu.Unlock()
+	s.pause(ctx, random, drainBound, drainBound+2*time.Second)
+	s.store.Put("servers", old.name, nil)
+}
--- /dev/null
+++ b/cmd/internal/soak/proxy.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// linkFault is what a link does to the bytes that cross it.
+type linkFault int
+
+const (
+	linkFine linkFault = iota
+	// linkDelay holds each piece back for linkDelayTime.
+	linkDelay
+	// linkReset resets open and new connections.
+	linkReset
+	// linkSilent passes nothing on and says nothing.
+	linkSilent
+	// linkOneWay passes requests on and swallows answers.
+	linkOneWay
+	linkFaults
+)
+
+const linkDelayTime = 40 * time.Millisecond
+
+// link is a loopback proxy in front of one address.
+type link struct {
+	listener net.Listener
+	target   netip.AddrPort
+
+	mu    sync.Mutex
+	fault linkFault
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+func newLink(target netip.AddrPort) (*link, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	k := &link{listener: l, target: target, conns: make(map[net.Conn]struct{})}
+	k.wg.Go(k.run)
+	return k, nil
+}
+
+func (k *link) addr() netip.AddrPort { return netip.MustParseAddrPort(k.listener.Addr().String()) }
+
+// set puts a fault in force.
+func (k *link) set(f linkFault) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fault = f
+	if f == linkReset {
+		k.resetAll()
+	}
+}
+
+func (k *link) resetAll() {
+	for c := range k.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (k *link) now() linkFault {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fault
+}
+
+func (k *link) close() {
+	_ = k.listener.Close()
+	k.mu.Lock()
+	k.resetAll()
+	k.mu.Unlock()
+	k.wg.Wait()
+}
+
+func (k *link) run() {
+	for {
+		in, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", k.target.String())
+		if err != nil || !k.keep(in, out) {
+			_ = in.Close()
+			if out != nil {
+				_ = out.Close()
+			}
+			continue
+		}
+		k.wg.Go(func() { k.loop(out, in, false) })
+		k.wg.Go(func() { k.loop(in, out, true) })
+	}
+}
+
+func (k *link) keep(in, out net.Conn) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fault == linkReset {
+		return false
+	}
+	k.conns[in], k.conns[out] = struct{}{}, struct{}{}
+	return true
+}
+
+// loop copies one direction. A connection that met silence stays silent.
+func (k *link) loop(dst, src net.Conn, answers bool) {
+	defer k.drop(dst, src)
+	buf := make([]byte, 16<<10)
+	silent := false
+	for {
+		n, err := src.Read(buf)
+		switch f := k.now(); {
+		case f == linkDelay:
+			time.Sleep(linkDelayTime)
+		case f == linkSilent, f == linkOneWay && answers:
+			silent = true
+		}
+		if n > 0 && !silent {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF && !silent {
+			if tcp, ok := dst.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+				return
+			}
+		}
+		return
+	}
+}
+
+// drop closes both ends once both directions have ended or one has failed.
+func (k *link) drop(dst, src net.Conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.conns[src]; ok {
+		delete(k.conns, src) // the other direction still reads dst
+		return
+	}
+	delete(k.conns, dst)
+	_ = dst.Close()
+	_ = src.Close()
+}
--- /dev/null
+++ b/cmd/internal/soak/router.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 4 * time.Second
+
+// router is one router process with a link of its own to the store.
+type router struct {
+	name, zone string
+	command    []string
+	dir        string
+	callers    netip.AddrPort
+	ready      netip.AddrPort
+	listen     netip.AddrPort
+	store      *link
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	// calmSince is when the router was last disturbed by the soak.
+	calmSince time.Time
+	starts    int
+}
+
+const settingsTemplate = `[router]
+vm = %s
+zone = %s
+callers = %s
+ready = %s
+listen = %s
+metrics = %s
+seeds = %s
+fleetKey = amaranthtide-soak
+shutdownGrace = %s
+[store]
+address = %s
+[limits]
+capMultiple = 2
+retryRatio = 0.2
+retrySlack = 100
+retryWindow = 10s
+memoryMegabytes = 200
+[log]
+level = info
+bytesPerSecond = 262144
+`
+
+// writeSettings writes the settings file of the router.
+func (r *router) writeSettings(metrics netip.AddrPort, seeds string) error {
+	text := fmt.Sprintf(settingsTemplate, r.name, r.zone, r.callers, r.ready, r.listen, metrics, seeds, grace, r.store.addr())
+	return os.WriteFile(r.settings(), []byte(text), 0o600)
+}
+
+func (r *router) settings() string { return filepath.Join(r.dir, r.name+".ini") }
+
+func (r *router) log() string { return filepath.Join(r.dir, r.name+".log") }
+
+// start starts the process unless it runs.
+func (r *router) start(now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(r.log(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(r.command[0], append(r.command[1:], "--settings", r.settings())...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// Stopped processes of a group whose shell has ended would get SIGHUP.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	cmd.Env = append(os.Environ(), routerVariable+"=1")
+	if err := cmd.Start(); err != nil {
+		_ = out.Close()
+		return err
+	}
+	r.cmd, r.ended, r.calmSince = cmd, make(chan struct{}), now
+	r.starts++
+	go r.run(cmd, out, r.ended)
+	return nil
+}
+
+// run waits for the end of the process.
+func (r *router) run(cmd *exec.Cmd, out *os.File, ended chan struct{}) {
+	_ = cmd.Wait() // the soak judges by what callers see
+	_ = out.Close()
+	r.mu.Lock()
+	r.cmd = nil
+	r.mu.Unlock()
+	close(ended)
+}
+
+// signal sends a signal to the process, if it runs, and marks the router disturbed.
+func (r *router) signal(now time.Time, s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calmSince = now
+	if r.cmd != nil {
+		_ = r.cmd.Process.Signal(s) // it may just have ended
+	}
+}
+
+func (r *router) disturbed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calmSince = now
+}
+
+// calm reports whether the router ran without a disturbance for a time.
+func (r *router) calm(now time.Time, d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cmd != nil && now.Sub(r.calmSince) >= d
+}
+
+// stop ends the process, by force if it outlasts the grace.
+func (r *router) stop() {
+	r.mu.Lock()
+	cmd, ended := r.cmd, r.ended
+	r.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+}
--- /dev/null
+++ b/cmd/internal/soak/soak.go
@@ -0,0 +1,371 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthtide/platform/standin"
+)
+
+const (
+	routersPerZone = 3
+	callers        = 12
+	faultLoops     = 3
+	workspace      = "club"
+	keepKey        = "key-kept"
+	// Bounds of the promises that the soak checks, with half a second for the soak's
+	// own delays.
+	drainBound  = 2500 * time.Millisecond
+	outBound    = 5500 * time.Millisecond
+	changeBound = 2500 * time.Millisecond
+	// contact is how long a router and the store must have been undisturbed.
+	contact = 3 * time.Second
+	// recovery is how long the fleet may take to serve again after the last fault.
+	recovery = 12 * time.Second
+	// maxEvents is how many events before a violation are told.
+	maxEvents = 40
+)
+
+var zones = []string{"a", "b"}
+
+// routerVariable makes a test binary run as a router.
+const routerVariable = "AMARANTHTIDE_SOAK_ROUTER"
+
+// Options are the settings of a run. All are required.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	// Router is the command of a router, without its settings.
+	Router []string
+	// Dir takes the routers' settings and logs.
+	Dir string
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Time    time.Duration `json:"time"`
+	Promise string        `json:"promise"`
+	Text    string        `json:"text"`
+	// Events are what the soak did before.
+	Events []string `json:"events"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64         `json:"seed"`
+	Answers    map[string]int `json:"answers"`
+	Starts     int            `json:"starts"`
+	Faults     int            `json:"faults"`
+	Violations []Violation    `json:"violations"`
+}
+
+// soak is one run.
+type soak struct {
+	opts    Options
+	began   time.Time
+	store   *standin.Store
+	routers []*router
+
+	mu       sync.Mutex
+	servers  int
+	backends []*backend
+	left     []*backend
+	// storeCalm is when the store was last disturbed for all routers.
+	storeCalm time.Time
+	version   int
+	// spare is the key that comes and goes; spareGone is when it went.
+	spare     string
+	spareGone time.Time
+	out       map[string]time.Time
+	runs      map[string]int
+	refusals  map[string]bool
+	answers   map[string]int
+	events    []string
+	faults    int
+	broken    []Violation
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, opts Options) (Report, error) {
+	s := &soak{
+		opts: opts, began: time.Now(), store: standin.NewStore(), out: make(map[string]time.Time),
+		runs: make(map[string]int), refusals: make(map[string]bool), answers: make(map[string]int),
+	}
+	defer s.store.Close()
+	s.storeCalm = s.began
+	if err := s.build(); err != nil {
+		return Report{}, err
+	}
+	defer s.tearDown()
+	if !s.served(ctx) {
+		return Report{}, fmt.Errorf("seed %d: the fleet didn't come up, see %s", opts.Seed, opts.Dir)
+	}
+	s.play(ctx)
+	if !s.served(ctx) {
+		s.violate(time.Now(), "recover", "the fleet doesn't serve %s after the last fault", recovery)
+	}
+	return s.report(), nil
+}
+
+// build starts servers and routers.
+func (s *soak) build() error {
+	s.nextVersion()
+	for _, zone := range zones {
+		for _, service := range []string{serviceApp, serviceEngine, serviceEngine} {
+			b, err := s.newBackend(service, zone)
+			if err != nil {
+				return err
+			}
+			s.backends = append(s.backends, b)
+		}
+	}
+	var listens []string
+	for _, zone := range zones {
+		for i := range routersPerZone {
+			ports, err := freePorts(4)
+			if err != nil {
+				return err
+			}
+			k, err := newLink(s.store.Addr())
+			if err != nil {
+				return err
+			}
+			r := &router{
+				name: fmt.Sprintf("vm-%s-%d", zone, i), zone: zone, command: s.opts.Router, dir: s.opts.Dir,
+				callers: ports[0], ready: ports[1], listen: ports[2], store: k,
+			}
+			listens = append(listens, ports[2].String())
+			if err := r.writeSettings(ports[3], strings.Join(listens[:min(3, len(listens))], ",")); err != nil {
+				return err
+			}
+			s.routers = append(s.routers, r)
+		}
+	}
+	for _, r := range s.routers {
+		if err := r.start(time.Now()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play runs callers and faults for the duration and then heals everything.
+func (s *soak) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.Duration)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range callers {
+		c := s.newCaller(i)
+		wg.Go(func() { c.run(ctx) })
+	}
+	for i := range faultLoops {
+		wg.Go(func() { s.loop(ctx, uint64(i)) })
+	}
+	wg.Wait()
+	for _, r := range s.routers {
+		if err := r.start(time.Now()); err != nil {
+			s.violate(time.Now(), "soak", "start %s: %v", r.name, err)
+		}
+	}
+}
+
+// served waits until every router serves.
+func (s *soak) served(ctx context.Context) bool {
+	c := s.newCaller(callers)
+	defer c.client.CloseIdleConnections()
+	deadline := time.Now().Add(recovery)
+	for _, r := range s.routers {
+		for !c.call(ctx, r, "/list/1") {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return false
+			}
+			time.Sleep(callPause)
+		}
+	}
+	return true
+}
+
+// report ends the checks that need the whole run.
+func (s *soak) report() Report {
+	now := time.Now()
+	s.mu.Lock()
+	refusals := s.refusals
+	var ran []string
+	for id := range refusals {
+		if s.runs[id] > 0 {
+			ran = append(ran, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range ran {
+		s.violate(now, "notRun", "request %s was refused as not run and ran", id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starts := 0
+	for _, r := range s.routers {
+		r.mu.Lock()
+		starts += r.starts
+		r.mu.Unlock()
+	}
+	return Report{Seed: s.opts.Seed, Answers: s.answers, Starts: starts, Faults: s.faults, Violations: s.broken}
+}
+
+func (s *soak) tearDown() {
+	for _, r := range s.routers {
+		r.stop()
+		r.store.close()
+	}
+	for _, b := range slices.Concat(s.backends, s.left) {
+		b.close()
+	}
+}
+
+func (s *soak) anyBackend(random *rand.Rand) *backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backends[random.IntN(len(s.backends))]
+}
+
+// nextVersion changes the configuration: every other version has the spare key.
+func (s *soak) nextVersion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	keys := []string{keepKey}
+	if s.version%2 == 1 {
+		s.spare, s.spareGone = fmt.Sprintf("key-%d", s.version), time.Time{}
+		keys = append(keys, s.spare)
+	}
+	s.store.Put("op", "config", standin.Config(s.version, keys...))
+	if s.version%2 == 0 {
+		s.spareGone = time.Now()
+	}
+}
+
+// key draws a key, and returns when it was taken away.
+func (s *soak) key(random *rand.Rand) (string, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if random.IntN(3) > 0 {
+		return keepKey, time.Time{}
+	}
+	if s.spareGone.IsZero() {
+		// A router may not know it yet: 401 is then right, as with a key that is gone.
+		return s.spare, time.Now()
+	}
+	return s.spare, s.spareGone
+}
+
+// takeZone takes a zone out of service unless another one is out.
+func (s *soak) takeZone(zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.out) > 0 {
+		return false
+	}
+	s.store.Put("op", "evacuate/"+zone, map[string]any{})
+	s.out[zone] = time.Now()
+	s.markOut(zone, time.Now())
+	return true
+}
+
+func (s *soak) returnZone(zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.markOut(zone, time.Time{})
+	delete(s.out, zone)
+	s.store.Put("op", "evacuate/"+zone, nil)
+}
+
+func (s *soak) markOut(zone string, at time.Time) {
+	for _, b := range slices.Concat(s.backends, s.left) {
+		if b.zone == zone {
+			b.mu.Lock()
+			b.out = at
+			b.mu.Unlock()
+		}
+	}
+}
+
+func (s *soak) disturbStore(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeCalm = now
+}
+
+// accountable reports whether a bound that began at from holds for a router: it and
+// the store were undisturbed from well before.
+func (s *soak) accountable(now time.Time, name string, from time.Time) bool {
+	s.mu.Lock()
+	calm := from.Sub(s.storeCalm) >= contact
+	s.mu.Unlock()
+	for _, r := range s.routers {
+		if r.name == name {
+			return calm && r.calm(now, now.Sub(from)+contact)
+		}
+	}
+	return false
+}
+
+// ran counts a run and checks that a request that may not be repeated runs once.
+func (s *soak) ran(now time.Time, id, path string) {
+	s.mu.Lock()
+	s.runs[id]++
+	n := s.runs[id]
+	s.mu.Unlock()
+	// A payment never runs again, nor does a stream that may not be resumed.
+	if n > 1 && (strings.HasPrefix(path, "/pay/") || strings.HasPrefix(path, "/chat/")) {
+		s.violate(now, "atMostOnce", "request %s %s ran %d times", id, path, n)
+	}
+}
+
+func (s *soak) refused(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals[id] = true
+}
+
+func (s *soak) count(result string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[result]++
+}
+
+func (s *soak) event(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if strings.HasSuffix(text, "begins") {
+		s.faults++
+	}
+	s.events = append(s.events, fmt.Sprintf("%.3f s %s", time.Since(s.began).Seconds(), text))
+	if len(s.events) > maxEvents {
+		s.events = s.events[1:]
+	}
+}
+
+func (s *soak) violate(now time.Time, promise, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = append(s.broken, Violation{now.Sub(s.began), promise, fmt.Sprintf(format, args...), slices.Clone(s.events)})
+}
+
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return out, nil
+}
--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	best, ok := choice.Engine(chat, candidates, choice.Cap{Multiple: 1.5, Extra: 2})
+//	best, ok := choice.Engine(chat, candidates, mean, choice.Cap{Multiple: 2, Extra: 2})
 //	best, ok := choice.Plain(zone, draw, candidates)
 package choice
 
@@ -33,7 +33,7 @@
 }
 
 // Cap bounds the load of an engine after an admission: Multiple times the mean load
-// of the candidates plus Extra.
+// plus Extra.
 type Cap struct {
 	Multiple float64
 	Extra    float64
@@ -41,13 +41,14 @@
 
 // Engine returns the index of the engine for a chat, and false if there is none.
 // The first engine of the chat's order under the cap wins; if all are above it, the
-// one with the smallest load does.
-func Engine(chat amaranthtide.ChatID, candidates []Candidate, limit Cap) (int, bool) {
+// one with the smallest load does. The mean is that of all engines of the service,
+// also of those that are no candidates: operators bound the load by it.
+func Engine(chat amaranthtide.ChatID, candidates []Candidate, mean float64, limit Cap) (int, bool) {
 	usable := preferred(candidates)
 	if len(usable) == 0 {
 		return 0, false
 	}
-	most := limit.of(candidates, usable)
+	most := math.Floor(limit.Multiple*mean + limit.Extra)
 	for _, i := range ranked(chat, candidates, usable) {
 		if float64(candidates[i].Load+1) <= most {
 			return i, true
@@ -90,15 +91,6 @@
 
 func young(now time.Time, in amaranthtide.Instance) bool { return now.Sub(in.Started) <= youngAge }
 
-// of returns the cap over the usable candidates.
-func (c Cap) of(candidates []Candidate, usable []int) float64 {
-	sum := 1 // the request itself
-	for _, i := range usable {
-		sum += candidates[i].Load
-	}
-	return math.Floor(c.Multiple*float64(sum)/float64(len(usable)) + c.Extra)
-}
-
 // Plain returns the index of the server of a plain service, and false if there is
 // none. Equal choices are broken by draw, any number.
 func Plain(zone amaranthtide.ZoneName, draw uint64, candidates []Candidate) (int, bool) {
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -121,11 +121,12 @@
 // pick returns the server for the next attempt.
 func (d *Dispatcher) pick(now time.Time, req *amaranthtide.Request, spec amaranthtide.ServiceSpec, tried amaranthtide.Set[amaranthtide.BackendServerName]) (amaranthtide.Instance, error) {
 	candidates := d.candidates(now, req.Service, tried)
+	mean := d.mean(now, req.Service)
 	for len(candidates) > 0 {
 		var i int
 		var ok bool
 		if spec.Engine {
-			i, ok = choice.Engine(req.Chat, candidates, *d.limit.Load())
+			i, ok = choice.Engine(req.Chat, candidates, mean, *d.limit.Load())
 		} else {
 			i, ok = choice.Plain(d.opts.Zone, rand.Uint64(), candidates)
 		}
@@ -170,6 +171,19 @@
 	return from.Address
 }
 
+// mean returns the mean load of all listed servers of a service.
+func (d *Dispatcher) mean(now time.Time, service amaranthtide.ServiceName) float64 {
+	all := d.opts.Servers.Of(service)
+	if len(all) == 0 {
+		return 0
+	}
+	sum := 0
+	for _, in := range all {
+		sum += d.opts.Traffic.Load(now, in.Name)
+	}
+	return float64(sum) / float64(len(all))
+}
+
 func (d *Dispatcher) avoid(now time.Time, server amaranthtide.BackendServerName) bool {
 	avoid := false
 	d.records.With(server, func(r *outlier.Record, ok bool) { avoid = ok && r.Avoid(now) })
