transport/direct: leave zones behind a cut as a whole

Change: a request that can't reach a server prefers other zones, and a zone whose servers can't be reached is avoided by all requests for a while. The test fails on the old code.

--- a/cmd/internal/deployment/routers.go
+++ b/cmd/internal/deployment/routers.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"amaranthtide"
-	"amaranthtide/cmd/internal/port"
+	"amaranthtide/internal/port"
 	"amaranthtide/protocol/settings"
 	"amaranthtide/transport/router"
 )
--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -44,7 +44,7 @@
 	b := &backend{Server: standin.NewServer(name), name: name, service: service, zone: zone, soak: s, out: out}
 	var err error
 	if b.link, err = newLink(b.Addr()); err != nil {
-		b.Server.Close()
+		b.Close()
 		return nil, err
 	}
 	b.SetHandle(b.serve)
@@ -62,7 +62,7 @@
 
 func (b *backend) close() {
 	b.link.close()
-	b.Server.Close()
+	b.Close()
 }
 
 // serve answers a request that runs here, and checks that it may.
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"amaranthtide/internal/port"
 	"amaranthtide/platform/standin"
 )
 
@@ -358,14 +358,12 @@
 }
 
 func freePorts(n int) ([]netip.AddrPort, error) {
-	var out []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	out := make([]netip.AddrPort, n)
+	for i := range out {
+		var err error
+		if out[i], err = port.Free(); err != nil {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, netip.MustParseAddrPort(l.Addr().String()))
 	}
 	return out, nil
 }
--- /dev/null
+++ b/cmd/internal/soak/soak_test.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"amaranthtide/cmd/internal/gatewaydaemon"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(routerVariable) != "" {
+		gatewaydaemon.Main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against broken promises under faults that overlap. The seeds are those of
+// the regression list, then a plain one.
+func TestSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range []uint64{7} {
+		report, err := Run(context.Background(), Options{Seed: seed, Duration: 15 * time.Second, Router: []string{self}, Dir: t.TempDir()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range report.Violations {
+			t.Errorf("seed %d, %s: got: %s: %s, want: no violation; before: %q", seed, v.Time, v.Promise, v.Text, v.Events)
+		}
+		if report.Answers["200"] == 0 || report.Faults == 0 {
+			t.Errorf("seed %d: got: %d faults and answers %v, want: some of both", seed, report.Faults, report.Answers)
+		}
+	}
+}
+
+// Guards against a soak that can't fail: it must find a router that sends a request
+// twice and one that refuses what has run, and hold only calm routers to bounds.
+func TestChecksFind(t *testing.T) {
+	now := time.Now()
+	r := &router{name: "vm-a-0", calmSince: now.Add(-time.Hour)}
+	r.cmd = &exec.Cmd{}
+	s := &soak{
+		opts: Options{Seed: 1}, began: now.Add(-time.Hour), storeCalm: now.Add(-time.Hour), routers: []*router{r},
+		runs: make(map[string]int), refusals: make(map[string]bool), answers: make(map[string]int),
+	}
+	s.ran(now, "1", "/pay/1")
+	s.ran(now, "1", "/pay/1")
+	s.ran(now, "2", "/list/1")
+	s.ran(now, "2", "/list/1")
+	s.ran(now, "3", "/pay/1")
+	s.refused("3")
+	if !s.accountable(now, "vm-a-0", now.Add(-time.Minute)) {
+		t.Error("got: a calm router that is not accountable, want: accountable")
+	}
+	r.disturbed(now.Add(-time.Second))
+	if s.accountable(now, "vm-a-0", now.Add(-time.Minute)) {
+		t.Error("got: a disturbed router that is accountable, want: not")
+	}
+	found := make(map[string]int)
+	for _, v := range s.report().Violations {
+		found[v.Promise]++
+	}
+	if found["atMostOnce"] != 1 || found["notRun"] != 1 || len(found) != 2 {
+		t.Errorf("got: %v, want: one of atMostOnce and one of notRun", found)
+	}
+}
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -57,6 +57,9 @@
 type Dispatcher struct {
 	opts    Options
 	records *shard.Map[amaranthtide.BackendServerName, *outlier.Record]
+	// zones judges zones by whether their servers can be reached: behind a cut, each
+	// server of a zone would else cost a request the time of a failed connection.
+	zones   *shard.Map[amaranthtide.ZoneName, *outlier.Record]
 	budgets *shard.Map[amaranthtide.ServiceName, *shared.Budget]
 	limit   atomic.Pointer[choice.Cap]
 	// routers is the number of registered routers.
@@ -79,6 +82,7 @@
 	d := &Dispatcher{
 		opts:    opts,
 		records: shard.New[amaranthtide.BackendServerName, *outlier.Record](),
+		zones:   shard.New[amaranthtide.ZoneName, *outlier.Record](),
 		budgets: shard.New[amaranthtide.ServiceName, *shared.Budget](),
 		cold:    coldrate.New(opts.VM),
 	}
@@ -114,13 +118,20 @@
 		}
 	}
 	d.earn(time.Now(), req.Service)
-	run := &run{d: d, req: req, spec: spec, w: w, tried: amaranthtide.NewSet[amaranthtide.BackendServerName]()}
+	run := &run{
+		d: d, req: req, spec: spec, w: w,
+		tried:     amaranthtide.NewSet[amaranthtide.BackendServerName](),
+		unreached: amaranthtide.NewSet[amaranthtide.ZoneName](),
+	}
 	return run.serve(ctx)
 }
 
 // pick returns the server for the next attempt.
-func (d *Dispatcher) pick(now time.Time, req *amaranthtide.Request, spec amaranthtide.ServiceSpec, tried amaranthtide.Set[amaranthtide.BackendServerName]) (amaranthtide.Instance, error) {
+func (d *Dispatcher) pick(now time.Time, req *amaranthtide.Request, spec amaranthtide.ServiceSpec, tried amaranthtide.Set[amaranthtide.BackendServerName], unreached amaranthtide.Set[amaranthtide.ZoneName]) (amaranthtide.Instance, error) {
 	candidates := d.candidates(now, req.Service, tried)
+	for i := range candidates {
+		candidates[i].Avoid = candidates[i].Avoid || unreached.Has(candidates[i].Instance.Zone)
+	}
 	mean := d.mean(now, req.Service)
 	for len(candidates) > 0 {
 		var i int
@@ -162,7 +173,7 @@
 	}
 	var others []choice.Candidate
 	for _, in := range d.opts.Servers.Of(req.Service) {
-		others = append(others, choice.Candidate{Instance: in, Avoid: d.avoid(now, in.Name)})
+		others = append(others, choice.Candidate{Instance: in, Avoid: d.avoid(now, in)})
 	}
 	from, ok := choice.Source(now, req.Chat, to, others)
 	if !ok {
@@ -184,9 +195,12 @@
 	return float64(sum) / float64(len(all))
 }
 
-func (d *Dispatcher) avoid(now time.Time, server amaranthtide.BackendServerName) bool {
+func (d *Dispatcher) avoid(now time.Time, in amaranthtide.Instance) bool {
 	avoid := false
-	d.records.With(server, func(r *outlier.Record, ok bool) { avoid = ok && r.Avoid(now) })
+	d.records.With(in.Name, func(r *outlier.Record, ok bool) { avoid = ok && r.Avoid(now) })
+	if !avoid {
+		d.zones.With(in.Zone, func(r *outlier.Record, ok bool) { avoid = ok && r.Avoid(now) })
+	}
 	return avoid
 }
 
@@ -197,14 +211,23 @@
 		if tried.Has(in.Name) || in.Leaving || d.opts.Servers.Out(in.Zone) {
 			continue
 		}
-		out = append(out, choice.Candidate{Instance: in, Load: d.opts.Traffic.Load(now, in.Name), Avoid: d.avoid(now, in.Name)})
+		out = append(out, choice.Candidate{Instance: in, Load: d.opts.Traffic.Load(now, in.Name), Avoid: d.avoid(now, in)})
 	}
 	return out
 }
 
 // note records an outcome of a server.
 func (d *Dispatcher) note(server amaranthtide.BackendServerName, f func(r *outlier.Record)) {
-	d.records.Update(server, func(r *outlier.Record, ok bool) (*outlier.Record, bool) {
+	noteIn(d.records, server, f)
+}
+
+// noteZone records whether a server of a zone could be reached.
+func (d *Dispatcher) noteZone(zone amaranthtide.ZoneName, f func(r *outlier.Record)) {
+	noteIn(d.zones, zone, f)
+}
+
+func noteIn[K comparable](records *shard.Map[K, *outlier.Record], key K, f func(r *outlier.Record)) {
+	records.Update(key, func(r *outlier.Record, ok bool) (*outlier.Record, bool) {
 		if !ok {
 			r = &outlier.Record{}
 		}
--- /dev/null
+++ b/transport/direct/dispatcher_test.go
@@ -0,0 +1,209 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/coordination/choice"
+	"amaranthtide/coordination/retry/shared"
+	"amaranthtide/state/declared"
+	"amaranthtide/state/servers"
+	"amaranthtide/state/traffic"
+	"amaranthtide/transport/direct"
+)
+
+// courier is a scripted amaranthtide.Courier.
+type courier struct {
+	mu   sync.Mutex
+	sent []amaranthtide.Attempt
+	// answer decides what comes of an attempt; nil is a whole answer.
+	answer func(ctx context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error
+}
+
+func (c *courier) Send(ctx context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error {
+	c.mu.Lock()
+	c.sent = append(c.sent, a)
+	c.mu.Unlock()
+	if c.answer != nil {
+		if err := c.answer(ctx, a, w); err != nil {
+			return err
+		}
+	}
+	if err := w.Head(amaranthtide.AnswerHead{Attempt: a.Request.Attempt, Server: a.Server, Status: 200}); err != nil {
+		return err
+	}
+	return w.Chunk([]byte("x"))
+}
+
+func (c *courier) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sent)
+}
+
+type discard struct{ status int }
+
+func (d *discard) Head(h amaranthtide.AnswerHead) error {
+	d.status = h.Status
+	return nil
+}
+
+func (d *discard) Chunk([]byte) error { return nil }
+
+// newDispatcher returns a dispatcher of zone a before six engines in the zones a, b
+// and c.
+func newDispatcher(c *courier) *direct.Dispatcher {
+	d, _ := newDispatcherOf(c)
+	return d
+}
+
+func newDispatcherOf(c *courier) (*direct.Dispatcher, *servers.Directory) {
+	cfg, dir := declared.New(), servers.New()
+	cfg.Apply(amaranthtide.Configuration{Revision: 1, Services: []amaranthtide.ServiceSpec{{Name: "llm", Engine: true}, {Name: "app"}}})
+	var all []amaranthtide.Instance
+	for i := range 6 {
+		zone := amaranthtide.ZoneName("abc"[i%3 : i%3+1])
+		for _, service := range []amaranthtide.ServiceName{"llm", "app"} {
+			all = append(all, amaranthtide.Instance{
+				Name: amaranthtide.BackendServerName(fmt.Sprintf("%s-%s%d", service, zone, i)), Service: service, Zone: zone,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+i)),
+			})
+		}
+	}
+	dir.Set(all)
+	d := direct.New(direct.Options{
+		VM: "vm-1", Zone: "a", Configuration: cfg, Servers: dir, Traffic: traffic.New(), Courier: c,
+		Cap: choice.Cap{Multiple: 2, Extra: 2}, Retries: shared.Limit{Ratio: 0.2, Slack: 40, Window: 10 * time.Second},
+	})
+	d.SetRouters([]amaranthtide.VMName{"vm-1"})
+	return d, dir
+}
+
+func request(service amaranthtide.ServiceName, chat string, once bool) *amaranthtide.Request {
+	now := time.Now()
+	return &amaranthtide.Request{
+		ID: amaranthtide.NewRequestID(), Service: service, Chat: amaranthtide.ChatID(chat), Once: once, MaxAttempts: 2,
+		Objective: 50 * time.Millisecond, Arrived: now, Deadline: now.Add(2 * time.Second),
+	}
+}
+
+// Guards against a zone behind a cut that costs each request the time of several
+// failed connections, and against a request that is refused although its own zone
+// could serve it.
+func TestZoneBehindACut(t *testing.T) {
+	is := is.New(t)
+	c := &courier{}
+	c.answer = func(_ context.Context, a amaranthtide.Attempt, _ amaranthtide.AnswerWriter) error {
+		if a.Server[4] != 'a' {
+			return amaranthtide.Errorf(amaranthtide.KindNoBackend, "no connection")
+		}
+		return nil
+	}
+	for i := range 60 {
+		before := c.count()
+		is.NoErr(newDispatcher(c).Serve(context.Background(), request("llm", fmt.Sprint(i), true), &discard{}))
+		if failed := c.count() - before - 1; failed > 2 {
+			t.Errorf("got: %d failed connections of one request, want: at most one to each other zone", failed)
+		}
+	}
+}
+
+// Guards against a second run of a request that may not be repeated, and against one
+// that is given up although its server says that it did not run it.
+func TestOnce(t *testing.T) {
+	is := is.New(t)
+	for kind, sends := range map[amaranthtide.Kind]int{
+		amaranthtide.KindOutcomeUnknown: 1, amaranthtide.KindTruncated: 1, amaranthtide.KindBackendFailed: 1,
+		amaranthtide.KindFull: 2, amaranthtide.KindNotOwner: 2, amaranthtide.KindNoBackend: 2,
+	} {
+		c := &courier{}
+		c.answer = func(context.Context, amaranthtide.Attempt, amaranthtide.AnswerWriter) error {
+			if c.count() == 1 {
+				return amaranthtide.Errorf(kind, "scripted")
+			}
+			return nil
+		}
+		err := newDispatcher(c).Serve(context.Background(), request("app", "", true), &discard{})
+		if c.count() != sends || (sends == 1) != amaranthtide.IsKind(err, kind) {
+			t.Errorf("got: %d sends and %v after %v, want: %d sends", c.count(), err, kind, sends)
+		}
+		if sends == 2 {
+			is.NoErr(err)
+		}
+	}
+}
+
+// Guards against a lookup that waits for a silent server until its deadline, and
+// against a payment that is sent again because its server is slow.
+func TestSilentServer(t *testing.T) {
+	is := is.New(t)
+	for _, once := range []bool{false, true} {
+		c := &courier{}
+		c.answer = func(ctx context.Context, _ amaranthtide.Attempt, _ amaranthtide.AnswerWriter) error {
+			if c.count() > 1 {
+				return nil
+			}
+			select {
+			case <-ctx.Done():
+				return amaranthtide.Errorf(amaranthtide.KindCanceled, "ended")
+			case <-time.After(time.Second):
+				return nil
+			}
+		}
+		start := time.Now()
+		is.NoErr(newDispatcher(c).Serve(context.Background(), request("app", "", once), &discard{}))
+		if once {
+			is.Equal(c.count(), 1)
+			continue
+		}
+		is.Equal(c.count(), 2)
+		is.True(time.Since(start) < 900*time.Millisecond)
+	}
+}
+
+// Guards against retries that multiply an overload.
+func TestRetriesHaveABudget(t *testing.T) {
+	c := &courier{}
+	c.answer = func(context.Context, amaranthtide.Attempt, amaranthtide.AnswerWriter) error {
+		return amaranthtide.Errorf(amaranthtide.KindFull, "full")
+	}
+	d := newDispatcher(c)
+	const requests = 200
+	for range requests {
+		err := d.Serve(context.Background(), request("app", "", false), &discard{})
+		if !amaranthtide.IsKind(err, amaranthtide.KindFull) {
+			t.Fatalf("got: %v, want: full", err)
+		}
+	}
+	if again := c.count() - requests; again > 40+requests/5 {
+		t.Errorf("got: %d sends beyond the first of each request, want: at most %d", again, 40+requests/5)
+	}
+}
+
+// Guards against a prompt that is read anew although another engine holds it, and
+// against a transfer for a chat that is at home.
+func TestMovedChatNamesItsFormerEngine(t *testing.T) {
+	is := is.New(t)
+	c := &courier{}
+	d, dir := newDispatcherOf(c)
+	is.NoErr(d.Serve(context.Background(), request("llm", "chat", true), &discard{}))
+	home := c.sent[0]
+	is.True(!home.FetchFrom.IsValid())
+
+	all := append(slices.Clone(dir.Of("llm")), dir.Of("app")...)
+	for i := range all {
+		all[i].Leaving = all[i].Name == home.Server
+	}
+	dir.Set(all)
+	is.NoErr(d.Serve(context.Background(), request("llm", "chat", true), &discard{}))
+	is.True(c.sent[1].Server != home.Server)
+	is.Equal(c.sent[1].FetchFrom, home.Address)
+}
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -31,6 +31,8 @@
 	w    amaranthtide.AnswerWriter
 	// tried are the servers that the request was offered to.
 	tried amaranthtide.Set[amaranthtide.BackendServerName]
+	// unreached are the zones of servers that could not be reached.
+	unreached amaranthtide.Set[amaranthtide.ZoneName]
 	// sent counts the servers that may have run the request, dials those that could
 	// not be reached.
 	sent, dials int
@@ -42,7 +44,7 @@
 func (r *run) serve(ctx context.Context) error {
 	r.answer = answer{w: r.w, resumable: r.req.Resumable}
 	for {
-		in, err := r.d.pick(time.Now(), r.req, r.spec, r.tried)
+		in, err := r.d.pick(time.Now(), r.req, r.spec, r.tried, r.unreached)
 		if err != nil {
 			return r.giveUp(err)
 		}
@@ -78,11 +80,17 @@
 	}
 	now := time.Now()
 	kind := amaranthtide.KindOf(err)
+	// Silence tells nothing of the path to the zone.
+	if kind != amaranthtide.KindNoBackend && kind != amaranthtide.KindOutcomeUnknown && kind != amaranthtide.KindCanceled {
+		r.d.noteZone(in.Zone, func(rec *outlier.Record) { rec.Succeeded(now) })
+	}
 	switch {
 	case err == nil, kind == amaranthtide.KindCanceled && ctx.Err() == context.Canceled:
 		r.d.note(in.Name, func(rec *outlier.Record) { rec.Succeeded(now) })
 	case kind == amaranthtide.KindNoBackend:
 		r.d.note(in.Name, func(rec *outlier.Record) { rec.Unreachable(now) })
+		r.d.noteZone(in.Zone, func(rec *outlier.Record) { rec.Failed(now) })
+		r.unreached.Add(in.Zone)
 	case kind == amaranthtide.KindFull:
 	default:
 		r.d.note(in.Name, func(rec *outlier.Record) { rec.Failed(now) })
