platform, state, transport: remove unused fields and calls, split the exchange and the follower

Behaviour stays as it is, but errors of ended requests name the end and not the closed connection. registration.Replace had no caller but its test; both are gone, since state/feed turns whole pages into removals, which its tests cover.

--- a/configuration.go
+++ b/configuration.go
@@ -64,17 +64,11 @@
 // ServiceSpec is what servers of one service have in common.
 type ServiceSpec struct {
 	Name ServiceName
-	// MaxConnections is what one server accepts from all routers together.
-	MaxConnections int
-	// ColdDuration is how long a server stays cold after a start.
-	ColdDuration time.Duration
 	// ColdPerSecond is the rate of requests that a cold server bears; 0 means that
 	// its servers are never cold.
 	ColdPerSecond float64
 	// Engine marks model engines, which keep prompts in memory.
 	Engine bool
-	// Slots is how many requests an engine runs at once.
-	Slots int
 }
 
 // Grant is what a caller key allows.
@@ -86,8 +80,5 @@
 
 // CallerLimits bound what a caller may send. Zero values are no limits.
 type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int
 }
--- a/coordination/registration/registration.go
+++ b/coordination/registration/registration.go
@@ -75,20 +75,6 @@
 	return true
 }
 
-// Replace takes the whole list. Servers that it lacks are removed.
-func (r *Registration) Replace(now time.Time, all []amaranthtide.Instance) {
-	listed := amaranthtide.NewSet[amaranthtide.BackendServerName]()
-	for _, in := range all {
-		listed.Add(in.Name)
-		r.Put(now, in)
-	}
-	for name := range r.servers {
-		if !listed.Has(name) {
-			r.Remove(now, name)
-		}
-	}
-}
-
 // Lost notes that no router can read the list.
 func (r *Registration) Lost() { r.away = true }
 
--- a/coordination/registration/registration_test.go
+++ b/coordination/registration/registration_test.go
@@ -16,7 +16,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func server(name amaranthtide.BackendServerName) amaranthtide.Instance {
-	return amaranthtide.Instance{Name: name, Service: "s", Zone: "a", Slots: 4, Started: start}
+	return amaranthtide.Instance{Name: name, Service: "s", Zone: "a", Started: start}
 }
 
 // usable returns the listed servers that may get work.
@@ -101,12 +101,3 @@
 	is.True(!r.Put(at(time.Minute), leaving))
 	is.Equal(len(usable(r, at(time.Minute))), 1)
 }
-
-// Guards against a list that was read whole and keeps servers that it lacks.
-func TestReplaceRemovesWhatIsMissing(t *testing.T) {
-	is := is.New(t)
-	r := registration.New()
-	r.Put(at(0), server("e1"))
-	r.Replace(at(time.Second), []amaranthtide.Instance{server("e2")})
-	is.Equal(names(usable(r, at(time.Second))), []amaranthtide.BackendServerName{"e2"})
-}
--- a/instance.go
+++ b/instance.go
@@ -12,7 +12,6 @@
 	Service ServiceName
 	Zone    ZoneName
 	Address netip.AddrPort
-	Slots   int
 	// Leaving marks a server that wants no new work.
 	Leaving bool
 	// ColdUntil is when the server stops being cold; zero if it is warm.
--- a/request.go
+++ b/request.go
@@ -35,10 +35,6 @@
 	Objective time.Duration
 	// Arrived is when the request was read.
 	Arrived time.Time
-	// PromptTokens and SharedTokens are the length of the prompt and of the part of
-	// it that other requests of the chat share.
-	PromptTokens int
-	SharedTokens int
 	// Cost estimates the work in tokens; at least 1.
 	Cost int
 	// Deadline is when the caller stops waiting.
--- a/state/declared/configuration.go
+++ b/state/declared/configuration.go
@@ -29,14 +29,10 @@
 	// mu orders versions that arrive at the same time.
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
-	changed chan struct{}
 }
 
 // New returns a Configuration without a version.
-func New() *Configuration { return &Configuration{changed: make(chan struct{}, 1)} }
-
-// Changed gets a value after a version was applied.
-func (c *Configuration) Changed() <-chan struct{} { return c.changed }
+func New() *Configuration { return &Configuration{} }
 
 // Apply puts a version in force and returns true, or returns false if it is not
 // newer than the one in force.
@@ -47,10 +43,6 @@
 		return false
 	}
 	c.current.Store(newSnapshot(cfg))
-	select {
-	case c.changed <- struct{}{}:
-	default:
-	}
 	return true
 }
 
--- /dev/null
+++ b/transport/peers/rows.go
@@ -0,0 +1,146 @@
+package peers
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/protocol/message"
+	"amaranthtide/transport/mesh"
+)
+
+// ask asks one router for the rows of the tables whose feed is away, and a reader of
+// the zone for those of the relayed table.
+func (e *Exchange) ask(now time.Time) {
+	away := e.opts.Follower.Away(now)
+	e.mu.Lock()
+	if now.Sub(e.askedAt) < askInterval {
+		e.mu.Unlock()
+		return
+	}
+	e.askedAt = now
+	e.turn++
+	turn := e.turn
+	to := e.live(now)
+	if len(to) == 0 {
+		to = e.addresses()
+	}
+	readers := e.readers(now)
+	e.mu.Unlock()
+	for _, table := range away {
+		e.want(table, to, turn)
+	}
+	if !slices.Contains(readers, e.opts.Self.VM) && !slices.Contains(away, e.opts.Relayed) {
+		e.want(e.opts.Relayed, e.addressesOf(readers), turn)
+	}
+}
+
+// want asks one of the routers for the rows of a table.
+func (e *Exchange) want(table amaranthtide.FeedTable, to []netip.AddrPort, turn int) {
+	if len(to) == 0 {
+		return
+	}
+	wanted := &message.RowsWanted{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))}
+	e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{to[turn%len(to)]})
+}
+
+// readers returns the routers of the own zone that read the relayed table.
+func (e *Exchange) readers(now time.Time) []amaranthtide.VMName {
+	names := []amaranthtide.VMName{e.opts.Self.VM}
+	for name, r := range e.routers {
+		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge {
+			names = append(names, name)
+		}
+	}
+	return placement.First(string(e.opts.Relayed), names, readersPerZone)
+}
+
+// Reads reports whether this router is one of the readers of its zone.
+func (e *Exchange) Reads(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.readers(now), e.opts.Self.VM)
+}
+
+// Live returns the number of other routers that reported lately.
+func (e *Exchange) Live(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.live(now))
+}
+
+func (e *Exchange) addressesOf(names []amaranthtide.VMName) []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []netip.AddrPort
+	for _, name := range names {
+		if r, ok := e.routers[name]; ok {
+			out = append(out, r.addr)
+		}
+	}
+	return out
+}
+
+// Relay passes a page of the relayed table, read after the given version, on to the
+// routers of the zone that don't read it.
+func (e *Exchange) Relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
+	now := time.Now()
+	e.mu.Lock()
+	readers := e.readers(now)
+	var to []netip.AddrPort
+	for name, r := range e.routers {
+		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge && !slices.Contains(readers, name) {
+			to = append(to, r.addr)
+		}
+	}
+	e.mu.Unlock()
+	e.publish(message.TopicRows, message.NewRows(e.opts.Relayed, after, page, true), to)
+}
+
+// rowsWanted answers another router that can't read the feed.
+func (e *Exchange) rowsWanted(msg *watermill.Message) {
+	var m message.RowsWanted
+	if !e.decode(msg, &m) {
+		return
+	}
+	sender, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender))
+	if err != nil {
+		e.opts.Logger.Warn("rows wanted by a router without an address", "error", err)
+		return
+	}
+	table, after := amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After)
+	page, news := e.opts.Rows.Since(table, after)
+	live := e.opts.Follower.Reading(time.Now(), table)
+	if !news && !live {
+		return
+	}
+	e.publish(message.TopicRows, message.NewRows(table, after, page, live), []netip.AddrPort{sender})
+}
+
+// rows takes rows from another router. While this router reads the table itself they
+// are not needed.
+func (e *Exchange) rows(msg *watermill.Message) {
+	var m message.Rows
+	if !e.decode(msg, &m) {
+		return
+	}
+	now := time.Now()
+	table, page := m.Root()
+	if m.Live {
+		e.opts.Follower.Vouch(now, table)
+	}
+	if page.Version == 0 || e.opts.Follower.Reading(now, table) {
+		return
+	}
+	if have := e.opts.Rows.Version(table).Or(0); !page.Whole && amaranthtide.RowVersion(m.After) > have {
+		// Changes before these were missed; the next question brings them.
+		page.Version = have
+	}
+	e.opts.Logger.Debug("rows taken from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
+		"rows", len(page.Rows), "version", page.Version)
+	e.opts.Follower.Apply(now, table, page)
+}
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -204,12 +204,16 @@
 
 // failure returns the error of a request that ended without an answer.
 func failure(ctx context.Context, kind amaranthtide.Kind, addr netip.AddrPort, err error) error {
-	switch cause := ctx.Err(); {
+	ended := ctx.Err()
+	switch {
 	case kind == amaranthtide.KindNoBackend:
-	case errors.Is(cause, context.Canceled):
+	case errors.Is(ended, context.Canceled):
 		kind = amaranthtide.KindCanceled
-	case cause != nil:
+	case ended != nil:
 		kind = amaranthtide.KindOutcomeUnknown
 	}
+	if ended != nil {
+		err = context.Cause(ctx) // says more than the error of a connection that was closed
+	}
 	return amaranthtide.Errorf(kind, "backend server %v: %w", addr, err)
 }
