--- /dev/null
+++ b/transport/follow/follower_test.go
@@ -0,0 +1,176 @@
+package follow_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/state/declared"
+	"amaranthtide/state/feed"
+	"amaranthtide/state/servers"
+	"amaranthtide/transport/follow"
+)
+
+const (
+	operator = amaranthtide.FeedTable("operator")
+	listing  = amaranthtide.FeedTable("listing")
+)
+
+// source is a scripted amaranthtide.Feed.
+type source struct {
+	mu    sync.Mutex
+	pages map[amaranthtide.FeedTable]amaranthtide.FeedPage
+	down  bool
+	calls map[amaranthtide.FeedTable]int
+}
+
+func newSource() *source {
+	return &source{pages: make(map[amaranthtide.FeedTable]amaranthtide.FeedPage), calls: make(map[amaranthtide.FeedTable]int)}
+}
+
+func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], _ time.Duration) (amaranthtide.FeedPage, error) {
+	s.mu.Lock()
+	s.calls[table]++
+	page, down := s.pages[table], s.down
+	s.mu.Unlock()
+	if down {
+		return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "scripted")
+	}
+	if from, known := after.Get(); known && page.Version <= from {
+		select { // a short wait in place of the feed's
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return amaranthtide.FeedPage{Version: page.Version}, nil
+	}
+	return page, nil
+}
+
+func (s *source) set(table amaranthtide.FeedTable, version amaranthtide.RowVersion, names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := amaranthtide.FeedPage{Whole: true, Version: version}
+	for _, name := range names {
+		page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: table, Key: name, Version: version, Value: []byte(name)})
+	}
+	s.pages[table] = page
+}
+
+func (s *source) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *source) count(table amaranthtide.FeedTable) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[table]
+}
+
+// reader reads rows of the listing as servers.
+type reader struct{}
+
+func (reader) Read(_ time.Time, row amaranthtide.FeedRow) (amaranthtide.Fact, error) {
+	if strings.HasPrefix(row.Key, "bad") {
+		return amaranthtide.Fact{}, amaranthtide.Errorf(amaranthtide.KindBadRequest, "scripted")
+	}
+	if row.Table != listing {
+		return amaranthtide.Fact{}, nil
+	}
+	return amaranthtide.Fact{Instance: amaranthtide.Some(amaranthtide.Instance{Name: amaranthtide.BackendServerName(row.Key), Service: "s"})}, nil
+}
+
+type fixture struct {
+	*follow.Follower
+	source  *source
+	servers *servers.Directory
+	reads   atomic.Bool
+	relayed atomic.Int32
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{source: newSource(), servers: servers.New()}
+	f.reads.Store(true)
+	f.source.set(operator, 1)
+	f.source.set(listing, 1, "e1")
+	f.Follower = follow.New(follow.Options{
+		Feed: f.source, Reader: reader{}, Tables: []amaranthtide.FeedTable{operator, listing}, Rows: feed.New(),
+		Configuration: declared.New(), Servers: f.servers, Relayed: listing,
+		Relay: func(amaranthtide.RowVersion, amaranthtide.FeedPage) { f.relayed.Add(1) },
+		Reads: func(time.Time) bool { return f.reads.Load() },
+	})
+	f.Start()
+	t.Cleanup(f.Close)
+	eventually(t, "the first server", func() bool { return f.servers.Len() == 1 })
+	return f
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !holds(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("got: not within 20 s, want: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against routers that all read the listing, and against one that relies on
+// readers which have fallen silent.
+func TestRouterReliesOnReadersWhileTheyVouch(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.reads.Store(false)
+	f.Vouch(time.Now(), listing)
+	eventually(t, "a router that doesn't read", func() bool { return !f.Reading(time.Now(), listing) })
+	before := f.source.count(listing)
+	for range 10 {
+		f.Vouch(time.Now(), listing)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.True(f.source.count(listing) <= before+1)
+	eventually(t, "a router that reads by itself", func() bool { return f.source.count(listing) > before+2 })
+}
+
+// Guards against rows of a listing that readers don't pass on.
+func TestReaderRelays(t *testing.T) {
+	f := newFixture(t)
+	before := f.relayed.Load()
+	f.source.set(listing, 2, "e1", "e2")
+	eventually(t, "a relayed page", func() bool { return f.relayed.Load() > before })
+	eventually(t, "both servers", func() bool { return f.servers.Len() == 2 })
+}
+
+// Guards against taking all servers for dead after an outage in which their entries
+// lapsed, and against keeping those that did not come back.
+func TestLapsedEntries(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.source.setDown(true)
+	eventually(t, "a lost feed", func() bool { return len(f.Away(time.Now())) == 2 })
+	f.source.set(listing, 5)
+	f.source.setDown(false)
+	eventually(t, "a feed that returned", func() bool { return len(f.Away(time.Now())) == 0 })
+	time.Sleep(100 * time.Millisecond) // time to take the removal
+	is.Equal(f.servers.Len(), 1)
+	eventually(t, "the end of the grace", func() bool { return f.servers.Len() == 0 })
+}
+
+// Guards against a server that stays in use after its row became unreadable, and
+// against bad rows that hide good ones.
+func TestUnreadableRows(t *testing.T) {
+	f := newFixture(t)
+	f.source.set(listing, 3, "bad-1", "e2")
+	eventually(t, "the readable server only", func() bool {
+		list := f.servers.Of("s")
+		return len(list) == 1 && list[0].Name == "e2"
+	})
+}
