--- a/cmd/amaranthtide/explain.go
+++ b/cmd/amaranthtide/explain.go
@@ -9,7 +9,7 @@
 	"amaranthtide/cmd/internal/explain"
 )
 
-// explainCommand registers the command that prints the story of a request.
+// explainCommand registers the command that prints the trace of a request.
 func explainCommand(app *kingpin.Application) (string, action) {
 	cmd := app.Command("explain", "Print what the logs of routers tell of one request.")
 	id := cmd.Arg("id", "Request identifier.").Required().String()
--- a/cmd/internal/explain/explain.go
+++ b/cmd/internal/explain/explain.go
@@ -1,4 +1,4 @@
-// Package explain is the command that prints the story of one request from the logs
+// Package explain is the command that prints the trace of one request from the logs
 // of routers.
 //
 // # Usage
@@ -19,7 +19,7 @@
 // maxLine bounds a line of a log.
 const maxLine = 1 << 20
 
-// Run prints the story of a request. The error is KindBadRequest if a file can't be
+// Run prints the trace of a request. The error is KindBadRequest if a file can't be
 // read or no line tells of the request.
 func Run(w io.Writer, id amaranthtide.RequestID, files []string) error {
 	var lines []logline.Line
@@ -32,12 +32,12 @@
 		lines = append(lines, more...)
 		bad += skipped
 	}
-	story := logline.Story(id, lines)
-	if len(story) == 0 {
+	trace := logline.Trace(id, lines)
+	if len(trace) == 0 {
 		return amaranthtide.Errorf(amaranthtide.KindBadRequest, "no line of %d files tells of request %s; %d lines could not be read", len(files), id, bad)
 	}
-	start := story[0].Time
-	for _, l := range story {
+	start := trace[0].Time
+	for _, l := range trace {
 		mark := " "
 		if l.Request == id {
 			mark = ">"
--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -15,8 +15,6 @@
 	serviceEngine = "llm"
 	// headerRouter names the router that a caller used. Routers pass it on.
 	headerRouter = "Soak-Router"
-	headerID     = "Request-Id"
-	headerResume = "Last-Event-Id"
 	streamEvents = 8
 	eventPause   = 15 * time.Millisecond
 	workTime     = 5 * time.Millisecond
@@ -48,16 +46,16 @@
 		return nil, err
 	}
 	b.SetHandle(b.serve)
-	s.list(b, "ready")
+	s.list(b, standin.StateReady)
 	return b, nil
 }
 
 // list writes the server's entry to the store.
 func (s *soak) list(b *backend, state string) {
 	entry := b.Entry(b.service, b.zone, state)
-	entry["address"] = b.link.addr().String()
-	entry["born"] = s.began.UnixMilli()
-	s.store.Put("servers", b.name, entry)
+	entry[standin.FieldAddress] = b.link.addr().String()
+	entry[standin.FieldStarted] = s.began.UnixMilli()
+	s.store.Put(standin.TableServers, b.name, entry)
 }
 
 func (b *backend) close() {
@@ -73,7 +71,7 @@
 		return
 	}
 	time.Sleep(workTime)
-	_, _ = fmt.Fprint(w, answerText(r.Header.Get(headerID), b.name))
+	_, _ = fmt.Fprint(w, answerText(r.Header.Get(standin.HeaderRequestID), b.name))
 }
 
 func answerText(id, server string) string { return id + " by " + server }
@@ -85,7 +83,7 @@
 func (b *backend) stream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from := 0
-	if text := r.Header.Get(headerResume); text != "" {
+	if text := r.Header.Get(standin.HeaderResume); text != "" {
 		var err error
 		if from, err = strconv.Atoi(text); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
@@ -93,7 +91,7 @@
 		}
 	}
 	for n := from + 1; n <= streamEvents; n++ {
-		_, _ = fmt.Fprint(w, eventText(r.Header.Get(headerID), n))
+		_, _ = fmt.Fprint(w, eventText(r.Header.Get(standin.HeaderRequestID), n))
 		_ = http.NewResponseController(w).Flush() // the caller may have left
 		select {
 		case <-r.Context().Done():
@@ -104,10 +102,10 @@
 }
 
 func (b *backend) arrived(now time.Time, r *http.Request) {
-	id, via := r.Header.Get(headerID), r.Header.Get(headerRouter)
+	id, via := r.Header.Get(standin.HeaderRequestID), r.Header.Get(headerRouter)
 	b.soak.ran(now, id, r.URL.Path)
-	if r.Header.Get("Credential") != "" || r.Header.Get("Tenant") != workspace {
-		b.soak.violate(now, "unasked", "request %s reached %s with the workspace %q", id, b.name, r.Header.Get("Tenant"))
+	if r.Header.Get(standin.HeaderKey) != "" || r.Header.Get(standin.HeaderWorkspace) != workspace {
+		b.soak.violate(now, "unasked", "request %s reached %s with the workspace %q", id, b.name, r.Header.Get(standin.HeaderWorkspace))
 	}
 	b.mu.Lock()
 	leaving, out := b.leaving, b.out
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -58,11 +58,11 @@
 		return false
 	}
 	req.Host = "shop.example"
-	req.Header.Set(headerID, id)
+	req.Header.Set(standin.HeaderRequestID, id)
 	req.Header.Set(headerRouter, r.name)
-	req.Header.Set("Credential", key)
-	req.Header.Set("Deadline-Ms", "2000")
-	req.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:100,%x:10", c.random.IntN(6), c.sent))
+	req.Header.Set(standin.HeaderKey, key)
+	req.Header.Set(standin.HeaderDeadline, "2000")
+	req.Header.Set(standin.HeaderPrompt, fmt.Sprintf("%x:100,%x:10", c.random.IntN(6), c.sent))
 	sent := time.Now()
 	resp, err := c.client.Transport.RoundTrip(req)
 	if err != nil {
@@ -117,7 +117,7 @@
 		return
 	}
 	_, server, _ := strings.Cut(body, " by ")
-	if body != answerText(id, server) || resp.Header.Get("Response-Stamp") != standin.Signature(server) {
-		c.soak.violate(now, "answer", "request %s got %q signed %q", id, body, resp.Header.Get("Response-Stamp"))
+	if body != answerText(id, server) || resp.Header.Get(standin.HeaderSignature) != standin.Signature(server) {
+		c.soak.violate(now, "answer", "request %s got %q signed %q", id, body, resp.Header.Get(standin.HeaderSignature))
 	}
 }
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -8,6 +8,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"amaranthtide/platform/standin"
 )
 
 // fault is a disruption. It does its work over some time and returns when it has
@@ -153,13 +155,13 @@
 	s.left = append(s.left, old)
 	s.mu.Unlock()
 	if random.IntN(2) == 0 {
-		s.list(old, "draining")
+		s.list(old, standin.StateLeaving)
 	} else {
-		s.store.Put("servers", old.name, nil)
+		s.store.Put(standin.TableServers, old.name, nil)
 	}
 	old.mu.Lock()
 	old.leaving = time.Now()
 	old.mu.Unlock()
 	s.pause(ctx, random, drainBound, drainBound+2*time.Second)
-	s.store.Put("servers", old.name, nil)
+	s.store.Put(standin.TableServers, old.name, nil)
 }
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -244,7 +244,7 @@
 		s.spare, s.spareGone = fmt.Sprintf("key-%d", s.version), time.Time{}
 		keys = append(keys, s.spare)
 	}
-	s.store.Put("op", "config", standin.Config(s.version, keys...))
+	s.store.Put(standin.TableOperator, standin.KeyConfiguration, standin.Config(s.version, keys...))
 	if s.version%2 == 0 {
 		s.spareGone = time.Now()
 	}
@@ -271,7 +271,7 @@
 	if len(s.out) > 0 {
 		return false
 	}
-	s.store.Put("op", "evacuate/"+zone, map[string]any{})
+	s.store.Put(standin.TableOperator, standin.KeyZoneOut(zone), map[string]any{})
 	s.out[zone] = time.Now()
 	s.markOut(zone, time.Now())
 	return true
@@ -282,7 +282,7 @@
 	defer s.mu.Unlock()
 	s.markOut(zone, time.Time{})
 	delete(s.out, zone)
-	s.store.Put("op", "evacuate/"+zone, nil)
+	s.store.Put(standin.TableOperator, standin.KeyZoneOut(zone), nil)
 }
 
 func (s *soak) markOut(zone string, at time.Time) {
--- a/coordination/coldrate/limiter.go
+++ b/coordination/coldrate/limiter.go
@@ -1,11 +1,11 @@
 // Package coldrate bounds the requests that a cold backend server gets from all
 // routers together, without any exchange of messages on the request path.
 //
-// Each cold server has a few sponsors among the routers, by rendezvous hashing over
-// all routers that are registered, whether they are alive or not. Only sponsors
+// Each cold server has a few senders among the routers, by rendezvous hashing over
+// all routers that are registered, whether they are alive or not. Only senders
 // send to the server while it is cold, each at its share of the rate. A router that
-// is cut off therefore needs no leave, and a sponsor that is down leaves its share
-// unused. While the lists of two routers differ, each sees its own sponsors; the
+// is cut off therefore needs no leave, and a sender that is down leaves its share
+// unused. While the lists of two routers differ, each sees its own senders; the
 // rate then reaches at most twice what the server is declared to bear.
 //
 // # Usage
@@ -27,9 +27,9 @@
 	"amaranthtide/coordination/placement"
 )
 
-// Sponsors is how many routers send to one cold server. More of them keep the
+// Senders is how many routers send to one cold server. More of them keep the
 // share of each below one request a second; fewer lose more of it with one router.
-const Sponsors = 4
+const Senders = 4
 
 // Limiter holds the shares of one router. It is not concurrent-safe.
 type Limiter struct {
@@ -49,11 +49,11 @@
 // Take counts one request to a cold server that bears perSecond requests a second,
 // and returns false if this router may not send it.
 func (l *Limiter) Take(now time.Time, server amaranthtide.BackendServerName, perSecond float64) bool {
-	sponsors := placement.First(string(server), l.routers, Sponsors)
-	if !slices.Contains(sponsors, l.self) {
+	senders := placement.First(string(server), l.routers, Senders)
+	if !slices.Contains(senders, l.self) {
 		return false
 	}
-	share := rate.Limit(perSecond / float64(len(sponsors)))
+	share := rate.Limit(perSecond / float64(len(senders)))
 	b, ok := l.buckets[server]
 	if !ok {
 		b = rate.NewLimiter(share, 1)
--- a/feed.go
+++ b/feed.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// FeedTable names a table whose rows the platform's feed tells.
+// FeedTable names a table whose rows the platform's feed delivers.
 type FeedTable string
 
 // FeedRow is one row of the platform's feed.
@@ -18,7 +18,7 @@
 	Value []byte
 }
 
-// FeedPage is what a table's feed tells at once.
+// FeedPage is what a table's feed delivers at once.
 type FeedPage struct {
 	Rows []FeedRow
 	// Version is the version up to which the rows are complete.
@@ -27,7 +27,7 @@
 	Whole bool
 }
 
-// Feed tells the rows of tables and their changes.
+// Feed delivers the rows of tables and their changes.
 type Feed interface {
 	// Next returns the whole table if after is absent or the history after it is gone,
 	// and else waits at most for the given time for changes after that version. A page
--- a/protocol/logline/line.go
+++ b/protocol/logline/line.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	line, err := logline.Parse(text) // an error is KindBadRequest
-//	story := logline.Story("9c41d07be2a35f68", lines)
+//	trace := logline.Trace("9c41d07be2a35f68", lines)
 package logline
 
 import (
@@ -31,7 +31,7 @@
 )
 
 // context is how long before and after a request the changes of what its routers
-// believed are part of its story.
+// believed are part of its trace.
 const context = 5 * time.Second
 
 // Line is one log line.
@@ -98,37 +98,37 @@
 	return b.String()
 }
 
-// Story returns the lines of a request in the order of their times, with the changes
+// Trace returns the lines of a request in the order of their times, with the changes
 // that its routers saw shortly before or during it: of its servers, of the
 // configuration, the feed and the router itself.
-func Story(id amaranthtide.RequestID, lines []Line) []Line {
-	var story []Line
+func Trace(id amaranthtide.RequestID, lines []Line) []Line {
+	var trace []Line
 	servers := amaranthtide.NewSet[amaranthtide.BackendServerName]()
 	routers := amaranthtide.NewSet[amaranthtide.VMName]()
 	for _, l := range lines {
 		if l.Request != id {
 			continue
 		}
-		story = append(story, l)
+		trace = append(trace, l)
 		routers.Add(l.VM)
 		if l.Server != "" {
 			servers.Add(l.Server)
 		}
 	}
-	if len(story) == 0 {
+	if len(trace) == 0 {
 		return nil
 	}
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
-	from := slices.MinFunc(story, byTime).Time.Add(-context)
-	to := slices.MaxFunc(story, byTime).Time
+	from := slices.MinFunc(trace, byTime).Time.Add(-context)
+	to := slices.MaxFunc(trace, byTime).Time
 	for _, l := range lines {
 		if l.Request != "" || !routers.Has(l.VM) || l.Time.Before(from) || l.Time.After(to) {
 			continue
 		}
 		if l.Server == "" || servers.Has(l.Server) {
-			story = append(story, l)
+			trace = append(trace, l)
 		}
 	}
-	slices.SortStableFunc(story, byTime)
-	return story
+	slices.SortStableFunc(trace, byTime)
+	return trace
 }
--- a/protocol/logline/line_test.go
+++ b/protocol/logline/line_test.go
@@ -18,9 +18,9 @@
 	early   = `{"@level":"warn","@message":"feed lost","@timestamp":"2026-03-02T07:00:00.000000Z","vm":"vm-1"}`
 )
 
-// Guards against a story that is out of order, lacks what the router believed of the
+// Guards against a trace that is out of order, lacks what the router believed of the
 // server, or mixes in other requests.
-func TestStory(t *testing.T) {
+func TestTrace(t *testing.T) {
 	is := is.New(t)
 	var lines []logline.Line
 	for _, text := range []string{failed, placed, gone, elsewhr, other, early} {
@@ -29,7 +29,7 @@
 		lines = append(lines, l)
 	}
 	var got []string
-	for _, l := range logline.Story("r1", lines) {
+	for _, l := range logline.Trace("r1", lines) {
 		got = append(got, l.String())
 	}
 	is.Equal(got, []string{
@@ -37,7 +37,7 @@
 		"request placed server=e1 load=3",
 		"attempt failed server=e1 kind=outcomeUnknown",
 	})
-	is.Equal(len(logline.Story("r3", lines)), 0)
+	is.Equal(len(logline.Trace("r3", lines)), 0)
 }
 
 // Guards against a torn line that ends the reading of a file.
--- a/state/feed/tables.go
+++ b/state/feed/tables.go
@@ -1,4 +1,4 @@
-// Package feed holds the rows that the platform's feed told, with their versions, so
+// Package feed holds the rows that the platform's feed delivered, with their versions, so
 // that routers can pass them on to routers that don't reach the feed.
 //
 // # Usage
--- a/state/traffic/traffic.go
+++ b/state/traffic/traffic.go
@@ -25,9 +25,9 @@
 	// MaxAge is the age from which a router's report no longer counts: its requests
 	// have mostly ended by then, or it is gone.
 	MaxAge = 2 * time.Second
-	// toldAge is the age up to which a server's own word counts. It is newer than the
+	// selfReportAge is the age up to which a server's own report counts. It is newer than the
 	// reports only for about one of their intervals.
-	toldAge = 300 * time.Millisecond
+	selfReportAge = 300 * time.Millisecond
 	// sumAge bounds how often the reports are summed up. A sum walks all reports.
 	sumAge = 50 * time.Millisecond
 )
@@ -35,13 +35,13 @@
 // Traffic is concurrent-safe. Use New. It implements amaranthtide.ServerObserver.
 type Traffic struct {
 	own    *shard.Map[amaranthtide.BackendServerName, int]
-	told   *shard.Map[amaranthtide.BackendServerName, told]
+	self   *shard.Map[amaranthtide.BackendServerName, selfReport]
 	roster *roster.Roster
 	sums   atomic.Pointer[sums]
 }
 
-// told is the load that a server told of itself.
-type told struct {
+// selfReport is the load that a server reported itself.
+type selfReport struct {
 	at   time.Time
 	load int
 }
@@ -56,7 +56,7 @@
 func New() *Traffic {
 	return &Traffic{
 		own:    shard.New[amaranthtide.BackendServerName, int](),
-		told:   shard.New[amaranthtide.BackendServerName, told](),
+		self:   shard.New[amaranthtide.BackendServerName, selfReport](),
 		roster: roster.New(),
 	}
 }
@@ -94,18 +94,18 @@
 
 // ServerReported implements amaranthtide.ServerObserver.
 func (t *Traffic) ServerReported(now time.Time, server amaranthtide.BackendServerName, r amaranthtide.ServerReport) {
-	t.told.Set(server, told{now, r.InFlight + r.Waiting})
+	t.self.Set(server, selfReport{now, r.InFlight + r.Waiting})
 }
 
-// ServerGone drops what a server that has left told of itself.
-func (t *Traffic) ServerGone(server amaranthtide.BackendServerName) { t.told.Delete(server) }
+// ServerGone drops the report of a server that has left.
+func (t *Traffic) ServerGone(server amaranthtide.BackendServerName) { t.self.Delete(server) }
 
 // Load returns the requests that all routers have at the server, as far as is known:
-// what the routers report, or what the server said itself if that is more.
+// what the routers report, or what the server reported itself if that is more.
 func (t *Traffic) Load(now time.Time, server amaranthtide.BackendServerName) int {
 	own, _ := t.own.Get(server)
 	load := own + t.reported(now).loads[server]
-	if last, ok := t.told.Get(server); ok && now.Sub(last.at) <= toldAge {
+	if last, ok := t.self.Get(server); ok && now.Sub(last.at) <= selfReportAge {
 		load = max(load, last.load)
 	}
 	return load
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -106,11 +106,11 @@
 // exchange sends the attempt. An attempt that may be followed by another one ends if
 // its answer does not begin in time; any silence counts against the server.
 func (r *run) exchange(ctx context.Context, server amaranthtide.BackendServerName, a amaranthtide.Attempt) error {
-	patience := max(silentObjectives*r.req.Objective, minSilence)
+	timeout := max(silentObjectives*r.req.Objective, minSilence)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	more := r.mayRepeat(1) && len(r.d.candidates(time.Now(), r.req.Service, r.tried)) > 0
-	silence := time.AfterFunc(patience, func() {
+	silence := time.AfterFunc(timeout, func() {
 		r.d.note(server, func(rec *outlier.Record) { rec.Failed(time.Now()) })
 		if more {
 			cancel(errSilent)
@@ -120,7 +120,7 @@
 	err := r.d.opts.Courier.Send(ctx, a, &r.answer)
 	silence.Stop()
 	if errors.Is(context.Cause(ctx), errSilent) {
-		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "server %s: %w for %s", server, errSilent, patience)
+		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "server %s: %w for %s", server, errSilent, timeout)
 	}
 	return err
 }
@@ -136,7 +136,7 @@
 		return r.dials < maxDials
 	case amaranthtide.KindFull, amaranthtide.KindLeaving, amaranthtide.KindNotOwner:
 		// The server did not run it; the send counts against the budget all the same.
-		return r.mayRefer() && r.d.takeRetry(time.Now(), r.req.Service)
+		return r.mayRedirect() && r.d.takeRetry(time.Now(), r.req.Service)
 	case amaranthtide.KindTruncated, amaranthtide.KindBackendFailed, amaranthtide.KindOutcomeUnknown:
 		r.sent++
 		return r.mayRepeat(0) && r.d.takeRetry(time.Now(), r.req.Service)
@@ -145,8 +145,8 @@
 	}
 }
 
-// mayRefer reports whether a request that a server refused may go to another one.
-func (r *run) mayRefer() bool { return len(r.tried)-r.dials < maxDials }
+// mayRedirect reports whether a request that a server refused may go to another one.
+func (r *run) mayRedirect() bool { return len(r.tried)-r.dials < maxDials }
 
 // mayRepeat reports whether the request may run once more after it has run on the
 // given number of servers beyond those counted.
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -39,10 +39,10 @@
 	retryWait = 400 * time.Millisecond
 	// awayAfter is how long calls must fail until rows are asked from other routers.
 	awayAfter = 300 * time.Millisecond
-	// vouchAge is how long the word of another router that it can read the list counts.
+	// peerReadAge is how long the word of another router that it can read the list counts.
 	// It covers two questions to other routers, and leaves time to read the list within
 	// the bound for servers that leave.
-	vouchAge = 1300 * time.Millisecond
+	peerReadAge = 1300 * time.Millisecond
 	// batchInterval is how long a reader of the relayed table lets changes gather after
 	// a page, since each call is priced and changes come in bursts.
 	batchInterval = 150 * time.Millisecond
@@ -87,8 +87,8 @@
 	zones   map[rowKey]amaranthtide.ZoneName
 	// reading tells whether this router reads the relayed table itself.
 	reading bool
-	// vouched is when another router last said that it can read the list of servers.
-	vouched time.Time
+	// peerRead is when another router last said that it can read the list of servers.
+	peerRead time.Time
 	// failing holds the time of the first failed call since the last good one.
 	failing map[amaranthtide.FeedTable]time.Time
 
@@ -168,17 +168,17 @@
 }
 
 // reads reports whether this router must read the relayed table itself: while it is
-// one of its zone's readers, or no reader vouches for the table.
+// one of its zone's readers, or no other router is known to read it.
 func (f *Follower) reads(now time.Time) bool {
 	if _, known := f.opts.Rows.Version(f.opts.Relayed).Get(); !known || f.opts.Reads(now) {
 		f.setReading(now, true)
 		return true
 	}
 	f.mu.Lock()
-	vouched := now.Sub(f.vouched) <= vouchAge
+	peerRead := now.Sub(f.peerRead) <= peerReadAge
 	f.mu.Unlock()
-	f.setReading(now, !vouched)
-	return !vouched
+	f.setReading(now, !peerRead)
+	return !peerRead
 }
 
 // setReading notes whether this router reads the relayed table itself. What it knew
@@ -193,7 +193,7 @@
 	if !reading {
 		delete(f.failing, f.opts.Relayed)
 	}
-	f.settle(now)
+	f.updateListing(now)
 }
 
 func (f *Follower) sleep(d time.Duration) {
@@ -237,11 +237,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.failing[table]; ok {
-		f.settle(now)
+		f.updateListing(now)
 		return
 	}
 	f.failing[table] = now
-	f.settle(now)
+	f.updateListing(now)
 	f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(0), "error", err)
 }
 
@@ -253,7 +253,7 @@
 		return
 	}
 	delete(f.failing, table)
-	f.settle(now)
+	f.updateListing(now)
 	f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(since))
 }
 
@@ -264,11 +264,11 @@
 	return ok
 }
 
-// settle tells the listing whether removals can be believed: while this router or
+// updateListing sets whether removals from the listing are final: while this router or
 // another one can read the list of servers, they can.
-func (f *Follower) settle(now time.Time) {
+func (f *Follower) updateListing(now time.Time) {
 	_, failing := f.failing[f.opts.Relayed]
-	if (failing || !f.reading) && now.Sub(f.vouched) > vouchAge {
+	if (failing || !f.reading) && now.Sub(f.peerRead) > peerReadAge {
 		f.listing.Lost()
 		return
 	}
@@ -296,13 +296,13 @@
 	return !failing && (table != f.opts.Relayed || f.reading)
 }
 
-// Vouch notes that another router can read the table's feed.
-func (f *Follower) Vouch(now time.Time, table amaranthtide.FeedTable) {
+// PeerReads notes that another router can read the table's feed.
+func (f *Follower) PeerReads(now time.Time, table amaranthtide.FeedTable) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if table == f.opts.Relayed {
-		f.vouched = now
-		f.settle(now)
+		f.peerRead = now
+		f.updateListing(now)
 	}
 }
 
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -125,15 +125,15 @@
 
 // Guards against routers that all read the listing, and against one that relies on
 // readers which have fallen silent.
-func TestRouterReliesOnReadersWhileTheyVouch(t *testing.T) {
+func TestRouterReliesOnReaders(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
 	f.reads.Store(false)
-	f.Vouch(time.Now(), listing)
+	f.PeerReads(time.Now(), listing)
 	eventually(t, "a router that doesn't read", func() bool { return !f.Reading(time.Now(), listing) })
 	before := f.source.count(listing)
 	for range 10 {
-		f.Vouch(time.Now(), listing)
+		f.PeerReads(time.Now(), listing)
 		time.Sleep(20 * time.Millisecond)
 	}
 	is.True(f.source.count(listing) <= before+1)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -73,7 +73,7 @@
 	Cap choice.Cap
 	// Retries bounds the retries of one service over the fleet.
 	Retries shared.Limit
-	// Tables are the tables that the feed tells. Relayed is the one of them that lists
+	// Tables are the tables that the feed delivers. Relayed is the one of them that lists
 	// the servers, Registry is the table of the routers.
 	Tables    []amaranthtide.FeedTable
 	Relayed   amaranthtide.FeedTable
--- a/transport/logsink/sink.go
+++ b/transport/logsink/sink.go
@@ -120,7 +120,7 @@
 	defer close(s.done)
 	ticker := time.NewTicker(noticeInterval)
 	defer ticker.Stop()
-	var told uint64
+	var reported uint64
 	for {
 		select {
 		case line, ok := <-s.lines:
@@ -129,10 +129,10 @@
 			}
 			_, _ = s.out.Write(line) // an output that fails has no place to say so
 		case now := <-ticker.C:
-			if n := s.Dropped(); n > told {
+			if n := s.Dropped(); n > reported {
 				_, _ = fmt.Fprintf(s.out, `{"@level":"warn","@message":"log lines dropped","@timestamp":%q,"dropped":%d,"total":%d}`+"\n",
-					now.Format(hclog.TimeFormatJSON), n-told, n)
-				told = n
+					now.Format(hclog.TimeFormatJSON), n-reported, n)
+				reported = n
 			}
 		}
 	}
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -38,8 +38,8 @@
 	// of a request, which is about a second.
 	reportInterval    = 250 * time.Millisecond
 	heartbeatInterval = time.Second
-	// askInterval is how often a router without the feed asks another router.
-	askInterval = 500 * time.Millisecond
+	// requestInterval is how often a router without the feed asks another router.
+	requestInterval = 500 * time.Millisecond
 	// readersPerZone is how many routers of a zone read the relayed table: one may be
 	// down or cut off from the platform without a delay for the others.
 	readersPerZone = 2
@@ -62,7 +62,7 @@
 type Follower interface {
 	Away(now time.Time) []amaranthtide.FeedTable
 	Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage)
-	Vouch(now time.Time, table amaranthtide.FeedTable)
+	PeerReads(now time.Time, table amaranthtide.FeedTable)
 	// Reading reports whether this router reads the table itself at present.
 	Reading(now time.Time, table amaranthtide.FeedTable) bool
 }
@@ -96,13 +96,13 @@
 
 	mu sync.Mutex
 	// routers are the registered routers and those that have reported, but this one.
-	routers  map[amaranthtide.VMName]router
-	sequence uint64
-	last     []amaranthtide.ServerLoad
-	sentAt   time.Time
-	askedAt  time.Time
-	// turn rotates the routers that are asked for rows.
-	turn int
+	routers     map[amaranthtide.VMName]router
+	sequence    uint64
+	last        []amaranthtide.ServerLoad
+	sentAt      time.Time
+	requestedAt time.Time
+	// next rotates the routers that are asked for rows.
+	next int
 	// settled is set once the registry was read.
 	settled bool
 
@@ -168,15 +168,15 @@
 		case <-e.ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.tell(now)
-			e.ask(now)
+			e.sendReport(now)
+			e.requestRows(now)
 			e.opts.Traffic.Forget(now.Add(-forgetAge))
 		}
 	}
 }
 
-// tell sends a report if the loads have changed or the last one is old.
-func (e *Exchange) tell(now time.Time) {
+// sendReport sends a report if the loads have changed or the last one is old.
+func (e *Exchange) sendReport(now time.Time) {
 	loads := e.opts.Traffic.Own()
 	e.mu.Lock()
 	if now.Sub(e.sentAt) < heartbeatInterval && slices.Equal(loads, e.last) {
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -13,18 +13,18 @@
 	"amaranthtide/transport/mesh"
 )
 
-// ask asks one router for the rows of the tables whose feed is away, and a reader of
+// requestRows asks one router for the rows of the tables whose feed is away, and a reader of
 // the zone for those of the relayed table.
-func (e *Exchange) ask(now time.Time) {
+func (e *Exchange) requestRows(now time.Time) {
 	away := e.opts.Follower.Away(now)
 	e.mu.Lock()
-	if now.Sub(e.askedAt) < askInterval {
+	if now.Sub(e.requestedAt) < requestInterval {
 		e.mu.Unlock()
 		return
 	}
-	e.askedAt = now
-	e.turn++
-	turn := e.turn
+	e.requestedAt = now
+	e.next++
+	next := e.next
 	to := e.live(now)
 	if len(to) == 0 {
 		to = e.addresses()
@@ -32,20 +32,20 @@
 	readers := e.readers(now)
 	e.mu.Unlock()
 	for _, table := range away {
-		e.want(table, to, turn)
+		e.requestTable(table, to, next)
 	}
 	if !slices.Contains(readers, e.opts.Self.VM) && !slices.Contains(away, e.opts.Relayed) {
-		e.want(e.opts.Relayed, e.addressesOf(readers), turn)
+		e.requestTable(e.opts.Relayed, e.addressesOf(readers), next)
 	}
 }
 
-// want asks one of the routers for the rows of a table.
-func (e *Exchange) want(table amaranthtide.FeedTable, to []netip.AddrPort, turn int) {
+// requestTable asks one of the routers for the rows of a table.
+func (e *Exchange) requestTable(table amaranthtide.FeedTable, to []netip.AddrPort, next int) {
 	if len(to) == 0 {
 		return
 	}
 	wanted := &message.RowsWanted{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))}
-	e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{to[turn%len(to)]})
+	e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{to[next%len(to)]})
 }
 
 // readers returns the routers of the own zone that read the relayed table.
@@ -131,7 +131,7 @@
 	now := time.Now()
 	table, page := m.Root()
 	if m.Live {
-		e.opts.Follower.Vouch(now, table)
+		e.opts.Follower.PeerReads(now, table)
 	}
 	if page.Version == 0 || e.opts.Follower.Reading(now, table) {
 		return
