coordination/registration: servers of a returned zone count as cold at first

Its entry still said that it was warm, and it fell over 0.5 s later.

Change: servers of a zone that returns to service count as cold for two heartbeats, whatever their entries say. The test fails on the old code, which has no such call.

--- a/coordination/registration/registration.go
+++ b/coordination/registration/registration.go
@@ -30,6 +30,9 @@
 // back. Servers write again within two heartbeats.
 const LapseGrace = 2 * time.Second
 
+// presumedColdDuration covers two heartbeats of a server.
+const presumedColdDuration = 2500 * time.Millisecond
+
 // Registration holds the servers of the list. Use New.
 type Registration struct {
 	servers map[amaranthtide.BackendServerName]entry
@@ -42,6 +45,8 @@
 	amaranthtide.Instance
 	// lapsed marks an entry that was removed while the list was unsettled.
 	lapsed bool
+	// presumedCold is until when the server counts as cold whatever its entry says.
+	presumedCold time.Time
 }
 
 // New returns an empty Registration.
@@ -56,7 +61,10 @@
 	if ok && in.Started.Before(old.Started) {
 		return false
 	}
-	r.servers[in.Name] = entry{Instance: in}
+	if old.presumedCold.After(in.ColdUntil) {
+		in.ColdUntil = old.presumedCold
+	}
+	r.servers[in.Name] = entry{Instance: in, presumedCold: old.presumedCold}
 	return !ok || old.lapsed || old.Instance != in
 }
 
@@ -75,6 +83,23 @@
 	return true
 }
 
+// ZoneReturned notes that a zone is back in service. Its servers may have turned cold
+// meanwhile, which their entries tell only with the next heartbeats: until then they
+// count as cold.
+func (r *Registration) ZoneReturned(now time.Time, zone amaranthtide.ZoneName) {
+	until := now.Add(presumedColdDuration)
+	for name, e := range r.servers {
+		if e.Zone != zone {
+			continue
+		}
+		e.presumedCold = until
+		if e.ColdUntil.Before(until) {
+			e.ColdUntil = until
+		}
+		r.servers[name] = e
+	}
+}
+
 // Lost notes that no router can read the list.
 func (r *Registration) Lost() { r.away = true }
 
--- a/coordination/registration/registration_test.go
+++ b/coordination/registration/registration_test.go
@@ -101,3 +101,24 @@
 	is.True(!r.Put(at(time.Minute), leaving))
 	is.Equal(len(usable(r, at(time.Minute))), 1)
 }
+
+// Guards against full load on the servers of a zone that returns: they may have turned
+// cold, and their entries say so only later, if they say the contrary at first.
+func TestServersOfAReturnedZoneCountAsCold(t *testing.T) {
+	is := is.New(t)
+	r := registration.New()
+	r.Put(at(0), server("e1"))
+	elsewhere := server("e2")
+	elsewhere.Zone = "b"
+	r.Put(at(0), elsewhere)
+	r.ZoneReturned(at(time.Minute), "a")
+	r.Put(at(time.Minute+time.Second), server("e1"))
+	soon := at(time.Minute + 2*time.Second)
+	list := r.Listed(soon)
+	is.True(soon.Before(list[0].ColdUntil))
+	is.True(!soon.Before(list[1].ColdUntil))
+
+	later := at(time.Minute + 4*time.Second)
+	r.Put(later, server("e1"))
+	is.True(!later.Before(r.Listed(later)[0].ColdUntil))
+}
--- a/transport/follow/fact.go
+++ b/transport/follow/fact.go
@@ -37,6 +37,7 @@
 func (f *Follower) remove(now time.Time, key rowKey) []amaranthtide.BackendServerName {
 	if zone, ok := f.zones[key]; ok {
 		delete(f.zones, key)
+		f.listing.ZoneReturned(now, zone)
 		f.opts.Logger.Info("zone back in service", "zone", zone)
 	}
 	name, ok := f.servers[key]
