transport/owner: lists of servers of a model replace each other in order

Cause: refresh puts together the servers of a model that count in the mean and then stores them. Two calls at once, as at start when all engines become reachable, could store the earlier list last. The mean then counted too few servers until one of them went down: a trace of two failing runs of TestScripts/frozenowner shows 3 and 2 of 4 engines from the first to the last admission, and with them a cap of 3 instead of 2. With one engine in the mean the cap is the number of callers, which explains the 7 that was seen once.

Change: refresh runs under a lock of its own.

--- a/cmd/internal/scenario/fleet_test.go
+++ b/cmd/internal/scenario/fleet_test.go
@@ -178,21 +178,43 @@
 
 // sum VAR FIELD ENGINE... sets a variable to the sum of a counter of engines.
 func sum(ts *testscript.TestScript, _ bool, args []string) {
+	total := total(ts, args[1], args[2:])
+	ts.Setenv(args[0], fmt.Sprint(total))
+	ts.Logf("%s of %v: %v", args[1], args[2:], total)
+}
+
+// reach N FIELD ENGINE... waits until the sum of a counter of engines is at least N.
+func reach(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	until := time.Now().Add(patience)
+	for {
+		got := total(ts, args[1], args[2:])
+		if got >= want {
+			return
+		}
+		if time.Now().After(until) {
+			ts.Fatalf("%s of %v: got: %v, want: at least %v\n%s", args[1], args[2:], got, want, logs(ts))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func total(ts *testscript.TestScript, field string, engines []string) float64 {
 	total := 0.0
-	for _, id := range args[2:] {
+	for _, id := range engines {
 		resp, err := http.Get("http://" + ts.Getenv("ENGINE_"+id) + "/standin/counters")
 		ts.Check(err)
 		counters := map[string]float64{}
 		ts.Check(json.NewDecoder(resp.Body).Decode(&counters))
 		_ = resp.Body.Close()
-		n, ok := counters[args[1]]
+		n, ok := counters[field]
 		if !ok {
-			ts.Fatalf("no counter %s", args[1])
+			ts.Fatalf("no counter %s", field)
 		}
 		total += n
 	}
-	ts.Setenv(args[0], fmt.Sprint(total))
-	ts.Logf("%s of %v: %v", args[1], args[2:], total)
+	return total
 }
 
 // compare A OP B compares numbers; OP is =, < or <=.
@@ -203,7 +225,7 @@
 	ts.Check(err)
 	holds := map[string]bool{"=": a == b, "<": a < b, "<=": a <= b}[args[1]]
 	if holds == neg {
-		ts.Fatalf("got: %v, want: %v", args[0], args[1:])
+		ts.Fatalf("got: %v, want: %v\n%s", args[0], args[1:], logs(ts))
 	}
 }
 
--- a/cmd/internal/scenario/scenario_test.go
+++ b/cmd/internal/scenario/scenario_test.go
@@ -65,6 +65,7 @@
 			"post":    post,
 			"edit":    edit,
 			"sum":     sum,
+			"reach":   reach,
 			"compare": compare,
 			"inforce": inforce,
 			"chats":   chats,
--- a/transport/owner/owner.go
+++ b/transport/owner/owner.go
@@ -94,6 +94,9 @@
 	// changed gets a value when the load of a group may have changed.
 	changed chan struct{}
 	wg      sync.WaitGroup
+	// refreshing orders the lists of refresh: without it an earlier list could replace
+	// a later one, and the mean would count too few servers from then on.
+	refreshing sync.Mutex
 }
 
 // waiter is a queued request. A held one waits for this server and no other.
@@ -229,6 +232,8 @@
 	if model == "" {
 		return
 	}
+	o.refreshing.Lock()
+	defer o.refreshing.Unlock()
 	var servers []amaranthtide.BackendServerName
 	groups := amaranthtide.NewSet[amaranthtide.GroupName]()
 	o.servers.Range(func(name amaranthtide.BackendServerName, s *serverState) bool {
--- a/transport/owner/owner_test.go
+++ b/transport/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -181,3 +182,46 @@
 		is.Equal(g.InFlight+g.Waiting, 0)
 	}
 }
+
+// Guards against a mean over too few engines: when several engines come back at the
+// same moment, a list that was put together earlier replaced a later one, and the
+// cap of the owner stayed too high until an engine went down again.
+func TestMeanCountsAllEngines(t *testing.T) {
+	const engineCount, rounds = 8, 300
+	rows := []amaranthtide.Row{
+		{Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, Revision: 1, Value: amaranthtide.Zone{}},
+		{Key: amaranthtide.RowKey{Kind: amaranthtide.RowModel, Name: "m"}, Revision: 1, Value: amaranthtide.Model{}},
+	}
+	var names []amaranthtide.BackendServerName
+	for i := range engineCount {
+		name := fmt.Sprintf("engine-%d", i)
+		names = append(names, amaranthtide.BackendServerName(name))
+		rows = append(rows, amaranthtide.Row{Key: amaranthtide.RowKey{Kind: amaranthtide.RowBackendServer, Name: name}, Revision: 1,
+			Value: amaranthtide.BackendServer{Zone: "a", Model: "m", Capacity: 1, ColdLimit: 1,
+				Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))}})
+	}
+	tab := table.New()
+	tab.Load(rows, 1)
+	ledger := load.New("vm-1")
+	o := owner.New(owner.Options{VM: "vm-1", Zone: "a", Table: tab, Ledger: ledger, Control: settled{}, Engines: newEngines(), MaxQueue: 16})
+	defer o.Close()
+	o.Watch(time.Now())
+	for round := range rounds {
+		var wg sync.WaitGroup
+		for _, name := range names {
+			wg.Go(func() {
+				o.Probed(time.Now(), name, amaranthtide.EngineReport{}, context.DeadlineExceeded)
+				o.Probed(time.Now(), name, amaranthtide.EngineReport{Boot: "boot", Capacity: 1}, nil)
+			})
+		}
+		wg.Wait()
+		counted := 0
+		ledger.Update(time.Now(), "m", names[0], func(v load.View) int {
+			counted = v.Servers
+			return v.InFlight
+		})
+		if counted != engineCount {
+			t.Fatalf("round %d: got: %d engines in the mean, want: %d", round, counted, engineCount)
+		}
+	}
+}
