transport/direct: a held failure is dropped once an answer is shown

The first server of a resumable stream answered 500, which is held back while another server is tried. The second one crashed in the middle of its stream. Giving up then passed on the held failure behind the events that the client already had and ended the answer in order, so that it looked complete.

Change: the held failure is dropped as soon as a later answer is shown.

Measured: TestBrokenStreamAfterAFailure failed before (no error, a second head) and passes after.

--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -15,7 +15,8 @@
 	resumable bool
 	// mayHold tells that a failure of the server may give way to another attempt.
 	mayHold bool
-	// held is the server's failure that is shown if no later attempt answers.
+	// held is the server's failure that is shown if no later attempt answers; nil once
+	// an answer is shown.
 	held *heldAnswer
 	// holding tells that the chunks of the present attempt go into held.
 	holding bool
@@ -55,7 +56,7 @@
 		a.held, a.holding = &heldAnswer{head: h}, true
 		return nil
 	}
-	a.shown = true
+	a.shown, a.held = true, nil
 	return a.w.Head(h)
 }
 
--- a/transport/direct/dispatcher_test.go
+++ b/transport/direct/dispatcher_test.go
@@ -24,8 +24,10 @@
 type courier struct {
 	mu   sync.Mutex
 	sent []amaranthtide.Attempt
-	// answer decides what comes of an attempt; nil is a whole answer.
+	// answer decides what comes of an attempt before the whole answer; nil is nothing.
 	answer func(ctx context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error
+	// alone tells that answer is all that comes of an attempt.
+	alone bool
 }
 
 func (c *courier) Send(ctx context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error {
@@ -33,7 +35,7 @@
 	c.sent = append(c.sent, a)
 	c.mu.Unlock()
 	if c.answer != nil {
-		if err := c.answer(ctx, a, w); err != nil {
+		if err := c.answer(ctx, a, w); err != nil || c.alone {
 			return err
 		}
 	}
@@ -207,3 +209,42 @@
 	is.True(c.sent[1].Server != home.Server)
 	is.Equal(c.sent[1].FetchFrom, home.Address)
 }
+
+// recorder is an amaranthtide.AnswerWriter that keeps what it got.
+type recorder struct {
+	heads []int
+	body  []byte
+}
+
+func (r *recorder) Head(h amaranthtide.AnswerHead) error {
+	r.heads = append(r.heads, h.Status)
+	return nil
+}
+
+func (r *recorder) Chunk(b []byte) error {
+	r.body = append(r.body, b...)
+	return nil
+}
+
+// Guards against a stream that broke off and is shown as complete: the failure of an
+// earlier server was passed on behind the events of the later one.
+func TestBrokenStreamAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	c := &courier{alone: true}
+	c.answer = func(_ context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error {
+		if c.count() == 1 {
+			is.NoErr(w.Head(amaranthtide.AnswerHead{Attempt: a.Request.Attempt, Server: a.Server, Status: 500}))
+			return w.Chunk([]byte("failed"))
+		}
+		is.NoErr(w.Head(amaranthtide.AnswerHead{Attempt: a.Request.Attempt, Server: a.Server, Status: 200}))
+		is.NoErr(w.Chunk([]byte("id: 1\ndata: x\n\nid: 2\n")))
+		return amaranthtide.Errorf(amaranthtide.KindTruncated, "scripted")
+	}
+	req := request("llm", "chat", false)
+	req.Stream, req.Resumable = true, true
+	w := &recorder{}
+	err := newDispatcher(c).Serve(context.Background(), req, w)
+	is.True(amaranthtide.IsKind(err, amaranthtide.KindTruncated))
+	is.Equal(w.heads, []int{200})
+	is.Equal(string(w.body), "id: 1\ndata: x\n\n")
+}
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -160,13 +160,14 @@
 	return r.req.MaxAttempts == 0 || r.sent+more < r.req.MaxAttempts
 }
 
-// giveUp ends the request with a held answer if there is one, and with the error of
-// an attempt that may have run before that of one that did not.
+// giveUp ends the request with a held answer if there is one. An answer that has
+// begun ends with the error that broke it off; else the error of an attempt that may
+// have run goes before that of one that did not.
 func (r *run) giveUp(err error) error {
 	if r.answer.held != nil {
 		return r.answer.release()
 	}
-	if r.ran != nil {
+	if r.ran != nil && !r.answer.shown {
 		return r.ran
 	}
 	return err
