transport/ingress: stop without the loss of a request on a kept connection

Shutdown of net/http closes a connection that it takes for idle although a request waits in the socket, and drops a request whose header it read after it began to shut down. On a VM with 0.12 cores that parses a large configuration at the same moment, this takes hundreds of ms.

Change: transport/ingress serves on a listener and drains by itself: it closes connections on which no byte of a request has come, neither read nor waiting in the socket, and waits for the others. Both kinds of router use it.

--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -35,6 +34,7 @@
 	"amaranthtide/state/traffic"
 	"amaranthtide/transport/direct"
 	"amaranthtide/transport/follow"
+	"amaranthtide/transport/ingress"
 	"amaranthtide/transport/mesh"
 	"amaranthtide/transport/metrics"
 	"amaranthtide/transport/peers"
@@ -111,13 +111,12 @@
 	peers         *peers.Exchange
 
 	meter    *metrics.Meter
-	callers  *http.Server
-	ready    *http.Server
-	metrics  *http.Server
+	callers  *ingress.Server
+	ready    *ingress.Server
+	metrics  *ingress.Server
 	draining atomic.Bool
 	// grace is Options.Grace, which a reload may replace.
 	grace atomic.Int64
-	wg    sync.WaitGroup
 	once  sync.Once
 }
 
@@ -206,8 +205,8 @@
 	return g.meter.Counter("amaranthtide.log.dropped", "Log lines that were dropped.", func() int64 { return int64(g.opts.Dropped()) })
 }
 
-func (g *Gateway) serve(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp", addr.String())
+func (g *Gateway) serve(addr netip.AddrPort, h http.Handler) (*ingress.Server, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, amaranthtide.Errorf(amaranthtide.KindInternal, "listen: %w", err)
 	}
@@ -218,12 +217,8 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          g.opts.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	g.wg.Go(func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			g.opts.Logger.Error("listener failed", "address", addr, "error", err)
-		}
-	})
-	return srv, nil
+	failed := func(err error) { g.opts.Logger.Error("listener failed", "address", addr, "error", err) }
+	return ingress.New(l, srv, failed), nil
 }
 
 // serverGone returns what is done when a server has left the list.
@@ -290,9 +285,9 @@
 
 // stop closes the parts that were started, in reverse order.
 func (g *Gateway) stop() {
-	for _, srv := range []*http.Server{g.callers, g.ready, g.metrics} {
+	for _, srv := range []*ingress.Server{g.callers, g.ready, g.metrics} {
 		if srv != nil {
-			_ = srv.Close()
+			srv.Close()
 		}
 	}
 	if g.follower != nil {
@@ -302,7 +297,6 @@
 		g.peers.Close()
 	}
 	_ = g.mesh.Close()
-	g.wg.Wait()
 	_ = g.meter.Close(context.Background()) // there is nothing to flush
 	g.opts.Logger.Info("router stopped")
 }
--- /dev/null
+++ b/transport/ingress/ingress_test.go
@@ -0,0 +1,147 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide/transport/ingress"
+)
+
+const patience = 5 * time.Second
+
+func serve(t *testing.T, h http.HandlerFunc) (*ingress.Server, string) {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := ingress.New(l, &http.Server{Handler: h}, func(err error) { t.Error(err) })
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+// client is a kept connection.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return client{c, bufio.NewReader(c)}
+}
+
+func (c client) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// status reads an answer; 0 is a connection that was closed.
+func (c client) status(t *testing.T) int {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+func shutdown(s *ingress.Server, within time.Duration) chan error {
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		done <- s.Shutdown(ctx)
+	}()
+	return done
+}
+
+// Guards against a request on a kept connection that is dropped because its header
+// was still being read when the shutdown began.
+func TestRequestThatHasBegunToArriveIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s, addr := serve(t, func(http.ResponseWriter, *http.Request) {})
+	kept := dial(t, addr)
+	kept.send(t, "GET / HTTP/1.1\r\nHost: a\r\nX: ")
+	fresh := dial(t, addr)
+	fresh.send(t, "GET / HTTP/1.1\r\n")
+	time.Sleep(50 * time.Millisecond) // the server reads the parts
+	done := shutdown(s, patience)
+	time.Sleep(100 * time.Millisecond)
+	kept.send(t, "1\r\n\r\n")
+	fresh.send(t, "Host: a\r\n\r\n")
+	is.Equal(kept.status(t), http.StatusOK)
+	is.Equal(fresh.status(t), http.StatusOK)
+	is.NoErr(<-done)
+}
+
+// Guards against a shutdown that waits for connections without a request, cuts a
+// request in flight, or closes a connection that had a request before.
+func TestShutdown(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	running := make(chan struct{}, 1)
+	s, addr := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			running <- struct{}{}
+			<-release
+		}
+	})
+	unused, idle, slow := dial(t, addr), dial(t, addr), dial(t, addr)
+	idle.send(t, get)
+	is.Equal(idle.status(t), http.StatusOK)
+	slow.send(t, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-running
+	done := shutdown(s, patience)
+	for _, c := range []client{unused, idle} {
+		_, err := c.r.ReadByte()
+		is.True(errors.Is(err, io.EOF))
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("got: ended with %v, want: waits for the request in flight", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+	is.Equal(slow.status(t), http.StatusOK)
+	is.NoErr(<-done)
+	_, err := net.Dial("tcp", addr)
+	is.True(err != nil)
+}
+
+// Guards against a shutdown that never ends because of one request.
+func TestShutdownCutsAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{}, 1)
+	s, addr := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		<-r.Context().Done()
+	})
+	c := dial(t, addr)
+	c.send(t, get)
+	<-running
+	is.True(<-shutdown(s, 100*time.Millisecond) != nil)
+	is.Equal(c.status(t), 0)
+}
--- a/transport/router/close.go
+++ b/transport/router/close.go
@@ -52,10 +52,10 @@
 	r.cancel()
 	r.closeSockets()
 	if r.callers != nil {
-		_ = r.callers.Close()
+		r.callers.Close()
 	}
 	if r.console != nil {
-		_ = r.console.Close()
+		r.console.Close()
 	}
 	if r.orders != nil {
 		r.orders.Close()
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -34,6 +34,7 @@
 	"amaranthtide/transport/engine"
 	"amaranthtide/transport/entry"
 	"amaranthtide/transport/groups"
+	"amaranthtide/transport/ingress"
 	"amaranthtide/transport/mesh"
 	"amaranthtide/transport/metrics"
 	"amaranthtide/transport/orders"
@@ -92,9 +93,9 @@
 	orders   *orders.Driver
 	meter    *metrics.Meter
 
-	callers  *http.Server
-	console  *http.Server
-	sockets  [2]net.Listener
+	callers  *ingress.Server
+	console  *ingress.Server
+	sockets  [2]*net.TCPListener
 	draining atomic.Bool
 
 	ctx    context.Context
@@ -131,7 +132,7 @@
 
 func (r *Router) listen() error {
 	for i, addr := range []netip.AddrPort{r.cfg.Router.Callers, r.cfg.Router.Console} {
-		l, err := net.Listen("tcp", addr.String())
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
 		if err != nil {
 			r.closeSockets()
 			return amaranthtide.Errorf(amaranthtide.KindInternal, "listen: %w", err)
@@ -262,7 +263,7 @@
 	return nil
 }
 
-func (r *Router) serve(l net.Listener, h http.Handler) *http.Server {
+func (r *Router) serve(l *net.TCPListener, h http.Handler) *ingress.Server {
 	srv := &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    entry.MaxHeaderBytes,
@@ -270,12 +271,11 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          r.opts.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	r.wg.Go(func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	return ingress.New(l, srv, func(err error) {
+		if !errors.Is(err, net.ErrClosed) {
 			r.opts.Logger.Error("listener failed", "address", l.Addr(), "error", err)
 		}
 	})
-	return srv
 }
 
 func (r *Router) callerHandler() http.Handler {
