transport/follow, transport/peers: fewer calls to the store

All routers poll the operators' table every 5 s, two readers a zone read the list of servers six times a second, and a router that the store refuses asks again after 0.4 s.

Change: the first reader of a zone reads the list every 0.4 s, the second only while the first is silent. Failed calls back off from 0.3 s to 1.2 s. Polls of the operators' table wait 20 s; reports of routers tell the newest row that they know, and a router that lacks it for a second ends its call and asks the router that has it.

--- a/state/feed/tables.go
+++ b/state/feed/tables.go
@@ -29,6 +29,8 @@
 
 type table struct {
 	version amaranthtide.RowVersion
+	// newest is the greatest version of a row that was delivered.
+	newest amaranthtide.RowVersion
 	// from is the version from which removals are remembered.
 	from    amaranthtide.RowVersion
 	rows    map[string]amaranthtide.FeedRow
@@ -52,6 +54,18 @@
 	return v
 }
 
+// Newest returns the greatest version of a row of the table that was delivered; 0 if
+// there was none.
+func (t *Tables) Newest(name amaranthtide.FeedTable) amaranthtide.RowVersion {
+	var newest amaranthtide.RowVersion
+	t.tables.With(name, func(tab *table, ok bool) {
+		if ok {
+			newest = tab.newest
+		}
+	})
+	return newest
+}
+
 // Apply takes a page of a table and returns the rows that are news, in the order of
 // their versions. A removed row has no value.
 func (t *Tables) Apply(name amaranthtide.FeedTable, page amaranthtide.FeedPage) []amaranthtide.FeedRow {
@@ -71,6 +85,7 @@
 	var news []amaranthtide.FeedRow
 	listed := amaranthtide.NewSet[string]()
 	for _, row := range page.Rows {
+		t.newest = max(t.newest, row.Version)
 		listed.Add(row.Key)
 		if t.put(row) {
 			news = append(news, row)
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -28,24 +28,35 @@
 )
 
 const (
-	// feedWait is how long a call waits for changes. Each call is priced; a call that
-	// was lost with its connection is noticed after this time at the latest.
-	feedWait = 5 * time.Second
+	// feedWait is how long a call waits for changes. Each call is priced. A call that
+	// was lost with its connection is noticed by the reports of other routers (Behind),
+	// or else after this time.
+	feedWait = 20 * time.Second
 	// relayedWait is the same for the relayed table. Few routers read it, and others
 	// rely on them.
 	relayedWait = 2 * time.Second
-	// retryWait is the mean wait after a failed call. It keeps a router that returns
-	// from a cut well inside the bound of a change.
-	retryWait = 400 * time.Millisecond
+	// retryWait is the mean wait after the first failed call. It doubles up to
+	// maxRetryWait, since refused calls are priced, too. The greatest wait keeps a
+	// router that returns from a cut inside the bound of a change.
+	retryWait    = 300 * time.Millisecond
+	maxRetryWait = 1200 * time.Millisecond
 	// awayAfter is how long calls must fail until rows are asked from other routers.
 	awayAfter = 300 * time.Millisecond
 	// peerReadAge is how long the word of another router that it can read the list counts.
 	// It covers two questions to other routers, and leaves time to read the list within
 	// the bound for servers that leave.
 	peerReadAge = 1300 * time.Millisecond
+	// standbyAge is the same for the second reader of a zone, which reads while the first
+	// is silent. It covers one batchInterval and a transit.
+	standbyAge = 700 * time.Millisecond
 	// batchInterval is how long a reader of the relayed table lets changes gather after
-	// a page, since each call is priced and changes come in bursts.
-	batchInterval = 150 * time.Millisecond
+	// a page, since each call is priced and changes come in bursts. It is a small part
+	// of the bound for servers that leave.
+	batchInterval = 400 * time.Millisecond
+	// behindAge is how long another router may know newer rows than this one until the
+	// call in flight counts as lost. A large document takes part of a second on a slow
+	// link; the rest of the bound of a change is left for asking another router.
+	behindAge = time.Second
 	// turnInterval is how often a router that relies on others looks whether it must
 	// read a table itself.
 	turnInterval = 200 * time.Millisecond
@@ -69,13 +80,17 @@
 	Relayed amaranthtide.FeedTable
 	// Relay is called with each page of the relayed table that this router has read.
 	Relay func(after amaranthtide.RowVersion, page amaranthtide.FeedPage)
-	// Reads reports whether this router reads the relayed table now.
-	Reads func(now time.Time) bool
+	// Rank returns the place of this router among the readers of the relayed table in
+	// its zone, from 0, or NotReader.
+	Rank func(now time.Time) int
 	// Gone is called with each server that has left the list.
 	Gone   func(amaranthtide.BackendServerName)
 	Logger hclog.Logger
 }
 
+// NotReader is the rank of a router that is no reader of its zone.
+const NotReader = -1
+
 // Follower is concurrent-safe. Use New.
 type Follower struct {
 	opts Options
@@ -89,14 +104,24 @@
 	reading bool
 	// peerRead is when another router last said that it can read the list of servers.
 	peerRead time.Time
-	// failing holds the time of the first failed call since the last good one.
-	failing map[amaranthtide.FeedTable]time.Time
+	// failing holds the failed calls since the last good one.
+	failing map[amaranthtide.FeedTable]failure
+	// calls holds what ends the call in flight of a table.
+	calls map[amaranthtide.FeedTable]context.CancelFunc
+	// behind holds since when other routers know newer rows.
+	behind map[amaranthtide.FeedTable]time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
+// failure is a run of failed calls.
+type failure struct {
+	since time.Time
+	calls int
+}
+
 type rowKey struct {
 	table amaranthtide.FeedTable
 	key   string
@@ -115,7 +140,9 @@
 		listing: registration.New(),
 		servers: make(map[rowKey]amaranthtide.BackendServerName),
 		zones:   make(map[rowKey]amaranthtide.ZoneName),
-		failing: make(map[amaranthtide.FeedTable]time.Time),
+		failing: make(map[amaranthtide.FeedTable]failure),
+		calls:   make(map[amaranthtide.FeedTable]context.CancelFunc),
+		behind:  make(map[amaranthtide.FeedTable]time.Time),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
@@ -151,11 +178,11 @@
 			wait = relayedWait
 		}
 		after := f.opts.Rows.Version(table)
-		page, err := f.opts.Feed.Next(f.ctx, table, after, wait)
+		page, err := f.next(table, after, wait)
 		now := time.Now()
 		if err != nil {
-			f.lost(now, table, err)
-			f.sleep(retryWait/2 + rand.N(retryWait))
+			mean := f.lost(now, table, err)
+			f.sleep(mean/2 + rand.N(mean))
 			continue
 		}
 		f.returned(now, table)
@@ -167,18 +194,54 @@
 	}
 }
 
-// reads reports whether this router must read the relayed table itself: while it is
-// one of its zone's readers, or no other router is known to read it.
-func (f *Follower) reads(now time.Time) bool {
-	if _, known := f.opts.Rows.Version(f.opts.Relayed).Get(); !known || f.opts.Reads(now) {
-		f.setReading(now, true)
-		return true
+// next calls the feed. Behind may end the call.
+func (f *Follower) next(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.calls[table] = cancel
+	f.mu.Unlock()
+	return f.opts.Feed.Next(ctx, table, after, wait)
+}
+
+// Behind takes the version of the newest row of a table that another router knows. It
+// reports whether this router should have that row by now: the call in flight is then
+// lost, and ends.
+func (f *Follower) Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.opts.Rows.Version(table).Or(0) >= newest {
+		delete(f.behind, table)
+		return false
 	}
+	since, ok := f.behind[table]
+	if !ok {
+		f.behind[table] = now
+		return false
+	}
+	if now.Sub(since) < behindAge {
+		return false
+	}
+	delete(f.behind, table)
+	if cancel, ok := f.calls[table]; ok {
+		cancel()
+	}
+	f.opts.Logger.Warn("feed is behind other routers", "table", table, "version", f.opts.Rows.Version(table).Or(0), "newest", newest)
+	return true
+}
+
+// reads reports whether this router must read the relayed table itself: as the first
+// reader of its zone, as the second while the first is silent, and as any other if no
+// router is known to read it.
+func (f *Follower) reads(now time.Time) bool {
+	rank := f.opts.Rank(now)
 	f.mu.Lock()
-	peerRead := now.Sub(f.peerRead) <= peerReadAge
+	silent := now.Sub(f.peerRead)
 	f.mu.Unlock()
-	f.setReading(now, !peerRead)
-	return !peerRead
+	_, known := f.opts.Rows.Version(f.opts.Relayed).Get()
+	reading := !known || rank == 0 || rank > 0 && silent > standbyAge || silent > peerReadAge
+	f.setReading(now, reading)
+	return reading
 }
 
 // setReading notes whether this router reads the relayed table itself. What it knew
@@ -230,31 +293,37 @@
 	f.publish(now, gone)
 }
 
-func (f *Follower) lost(now time.Time, table amaranthtide.FeedTable, err error) {
+// lost notes a failed call and returns the mean wait until the next one.
+func (f *Follower) lost(now time.Time, table amaranthtide.FeedTable, err error) time.Duration {
 	if f.ctx.Err() != nil {
-		return
+		return retryWait
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.failing[table]; ok {
-		f.updateListing(now)
-		return
+	failed, again := f.failing[table]
+	if !again {
+		failed.since = now
+		f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(0), "error", err)
 	}
-	f.failing[table] = now
+	failed.calls++
+	f.failing[table] = failed
 	f.updateListing(now)
-	f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(0), "error", err)
+	return min(retryWait<<min(failed.calls-1, maxDoublings), maxRetryWait)
 }
 
+// maxDoublings is enough to get from retryWait to maxRetryWait.
+const maxDoublings = 4
+
 func (f *Follower) returned(now time.Time, table amaranthtide.FeedTable) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	since, ok := f.failing[table]
+	failed, ok := f.failing[table]
 	if !ok {
 		return
 	}
 	delete(f.failing, table)
 	f.updateListing(now)
-	f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(since))
+	f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(failed.since), "calls", failed.calls)
 }
 
 func (f *Follower) failed(table amaranthtide.FeedTable) bool {
@@ -281,7 +350,7 @@
 	defer f.mu.Unlock()
 	var away []amaranthtide.FeedTable
 	for _, table := range f.opts.Tables {
-		if since, ok := f.failing[table]; ok && now.Sub(since) >= awayAfter {
+		if failed, ok := f.failing[table]; ok && now.Sub(failed.since) >= awayAfter {
 			away = append(away, table)
 		}
 	}
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -27,18 +27,24 @@
 	mu    sync.Mutex
 	pages map[amaranthtide.FeedTable]amaranthtide.FeedPage
 	down  bool
-	calls map[amaranthtide.FeedTable]int
+	// silent makes calls that wait go without an answer.
+	silent bool
+	calls  map[amaranthtide.FeedTable]int
 }
 
 func newSource() *source {
 	return &source{pages: make(map[amaranthtide.FeedTable]amaranthtide.FeedPage), calls: make(map[amaranthtide.FeedTable]int)}
 }
 
-func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], _ time.Duration) (amaranthtide.FeedPage, error) {
+func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
 	s.mu.Lock()
 	s.calls[table]++
-	page, down := s.pages[table], s.down
+	page, down, silent := s.pages[table], s.down, s.silent
 	s.mu.Unlock()
+	if silent && wait > 0 {
+		<-ctx.Done()
+		return amaranthtide.FeedPage{}, ctx.Err()
+	}
 	if down {
 		return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "scripted")
 	}
@@ -68,6 +74,12 @@
 	s.down = down
 }
 
+func (s *source) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 func (s *source) count(table amaranthtide.FeedTable) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,21 +103,20 @@
 	*follow.Follower
 	source  *source
 	servers *servers.Directory
-	reads   atomic.Bool
+	rank    atomic.Int32
 	relayed atomic.Int32
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{source: newSource(), servers: servers.New()}
-	f.reads.Store(true)
 	f.source.set(operator, 1)
 	f.source.set(listing, 1, "e1")
 	f.Follower = follow.New(follow.Options{
 		Feed: f.source, Reader: reader{}, Tables: []amaranthtide.FeedTable{operator, listing}, Rows: feed.New(),
 		Configuration: declared.New(), Servers: f.servers, Relayed: listing,
 		Relay: func(amaranthtide.RowVersion, amaranthtide.FeedPage) { f.relayed.Add(1) },
-		Reads: func(time.Time) bool { return f.reads.Load() },
+		Rank:  func(time.Time) int { return int(f.rank.Load()) },
 	})
 	f.Start()
 	t.Cleanup(f.Close)
@@ -128,7 +139,7 @@
 func TestRouterReliesOnReaders(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.reads.Store(false)
+	f.rank.Store(follow.NotReader)
 	f.PeerReads(time.Now(), listing)
 	eventually(t, "a router that doesn't read", func() bool { return !f.Reading(time.Now(), listing) })
 	before := f.source.count(listing)
@@ -140,6 +151,56 @@
 	eventually(t, "a router that reads by itself", func() bool { return f.source.count(listing) > before+2 })
 }
 
+// Guards against a second reader that reads beside the first, and against one that
+// does not take over within the bound for servers that leave.
+func TestSecondReaderStandsBy(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.rank.Store(1)
+	f.PeerReads(time.Now(), listing)
+	eventually(t, "a router that doesn't read", func() bool { return !f.Reading(time.Now(), listing) })
+	before := f.source.count(listing)
+	for range 20 {
+		f.PeerReads(time.Now(), listing)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.True(f.source.count(listing) <= before+1)
+	silent := time.Now()
+	eventually(t, "a second reader that reads", func() bool { return f.source.count(listing) > before+1 })
+	is.True(time.Since(silent) < 1200*time.Millisecond)
+}
+
+// Guards against a change that a router misses until the end of a long call, because
+// the connection of the call went silent.
+func TestCallThatIsLostEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	now := time.Now()
+	is.True(!f.Behind(now, operator, 1))
+	f.source.setSilent(true)
+	time.Sleep(100 * time.Millisecond) // the call in flight ends, the next one is silent
+	f.source.set(operator, 2)
+	is.True(!f.Behind(now, operator, 2))
+	is.True(!f.Behind(now.Add(900*time.Millisecond), operator, 2)) // it may be on its way
+	before := f.source.count(operator)
+	is.True(f.Behind(now.Add(time.Second), operator, 2))
+	eventually(t, "another call", func() bool { return f.source.count(operator) > before })
+	eventually(t, "the new version", func() bool { return !f.Behind(now.Add(time.Second), operator, 2) })
+}
+
+// Guards against routers that press a store which refuses them: refused calls are
+// priced and count against its rate.
+func TestFailedCallsBackOff(t *testing.T) {
+	f := newFixture(t)
+	f.source.setDown(true)
+	eventually(t, "a lost feed", func() bool { return len(f.Away(time.Now())) == 2 })
+	before := f.source.count(operator)
+	time.Sleep(3 * time.Second)
+	if calls := f.source.count(operator) - before; calls > 6 {
+		t.Errorf("got: %d calls in 3 s, want: at most 6", calls)
+	}
+}
+
 // Guards against rows of a listing that readers don't pass on.
 func TestReaderRelays(t *testing.T) {
 	f := newFixture(t)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -73,9 +73,9 @@
 	Cap choice.Cap
 	// Retries bounds the retries of one service over the fleet.
 	Retries shared.Limit
-	// Tables are the tables that the feed delivers. Relayed is the one of them that lists
-	// the servers, Registry is the table of the routers.
-	Tables    []amaranthtide.FeedTable
+	// Declared is the table of the operators, Relayed the one that lists the servers,
+	// Registry that of the routers.
+	Declared  amaranthtide.FeedTable
 	Relayed   amaranthtide.FeedTable
 	Registry  amaranthtide.FeedTable
 	Feed      amaranthtide.Feed
@@ -154,12 +154,12 @@
 		Courier: opts.Courier(load), Cap: opts.Cap, Retries: opts.Retries, Observe: g.meter.Attempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
-		Feed: opts.Feed, Reader: opts.Reader, Tables: opts.Tables, Relayed: opts.Relayed, Relay: g.relay, Reads: g.reads, Rows: rows, Configuration: g.configuration,
+		Feed: opts.Feed, Reader: opts.Reader, Tables: []amaranthtide.FeedTable{opts.Declared, opts.Relayed}, Relayed: opts.Relayed, Relay: g.relay, Rank: g.rank, Rows: rows, Configuration: g.configuration,
 		Servers: g.servers, Gone: g.serverGone(load), Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
-		Traffic: load, Follower: g.follower, Rows: rows, Relayed: opts.Relayed, Registry: opts.Feed, RegistryTable: opts.Registry,
+		Traffic: load, Follower: g.follower, Rows: rows, Relayed: opts.Relayed, Declared: opts.Declared, Registry: opts.Feed, RegistryTable: opts.Registry,
 		Registrar: opts.Registrar, Reader: opts.Reader, Routers: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
 	})
 	if err := g.peers.Start(); err != nil {
@@ -229,12 +229,12 @@
 	}
 }
 
-// relay and reads are called by the follower, which is built before the exchange.
+// relay and rank are called by the follower, which is built before the exchange.
 func (g *Gateway) relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
 	g.peers.Relay(after, page)
 }
 
-func (g *Gateway) reads(now time.Time) bool { return g.peers.Reads(now) }
+func (g *Gateway) rank(now time.Time) int { return g.peers.Rank(now) }
 
 // readiness answers the load balancer.
 func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -66,6 +66,8 @@
 	Away(now time.Time) []amaranthtide.FeedTable
 	Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage)
 	PeerReads(now time.Time, table amaranthtide.FeedTable)
+	// Behind reports whether this router should know a row of that version by now.
+	Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool
 	// Reading reports whether this router reads the table itself at present.
 	Reading(now time.Time, table amaranthtide.FeedTable) bool
 }
@@ -81,8 +83,10 @@
 	Traffic  *traffic.Traffic
 	Follower Follower
 	Rows     *feed.Tables
-	// Relayed is the table that the readers of a zone pass on to the others.
-	Relayed amaranthtide.FeedTable
+	// Relayed is the table that the readers of a zone pass on to the others, Declared the
+	// one of the operators that all routers follow.
+	Relayed  amaranthtide.FeedTable
+	Declared amaranthtide.FeedTable
 	// Registry is the feed that holds the table of routers, RegistryTable its name.
 	Registry      amaranthtide.Feed
 	RegistryTable amaranthtide.FeedTable
@@ -102,6 +106,7 @@
 	routers     map[amaranthtide.VMName]router
 	sequence    uint64
 	last        []amaranthtide.ServerLoad
+	lastNewest  amaranthtide.RowVersion
 	sentAt      time.Time
 	requestedAt time.Time
 	// waiting holds when rows of a table were requested that have not come.
@@ -180,20 +185,21 @@
 	}
 }
 
-// sendReport sends a report if the loads have changed or the last one is old.
+// sendReport sends a report if the loads or the operators' rows have changed or the
+// last one is old.
 func (e *Exchange) sendReport(now time.Time) {
-	loads := e.opts.Traffic.Own()
+	loads, newest := e.opts.Traffic.Own(), e.opts.Rows.Newest(e.opts.Declared)
 	e.mu.Lock()
-	if now.Sub(e.sentAt) < heartbeatInterval && slices.Equal(loads, e.last) {
+	if now.Sub(e.sentAt) < heartbeatInterval && slices.Equal(loads, e.last) && newest == e.lastNewest {
 		e.mu.Unlock()
 		return
 	}
 	e.sequence++
 	report := amaranthtide.Report{
 		VM: e.opts.Self.VM, Zone: e.opts.Self.Zone, Address: e.opts.Self.Address, Incarnation: e.opts.Incarnation,
-		Sequence: e.sequence, Interval: heartbeatInterval, Loads: loads,
+		Sequence: e.sequence, Interval: heartbeatInterval, Loads: loads, Revision: amaranthtide.Revision(newest),
 	}
-	e.last, e.sentAt = loads, now
+	e.last, e.lastNewest, e.sentAt = loads, newest, now
 	to := e.addresses()
 	e.mu.Unlock()
 	e.publish(message.TopicReport, message.NewReport(report), to)
@@ -277,6 +283,9 @@
 	if !known {
 		e.opts.Logger.Info("router seen", "vm", r.VM, "zone", r.Zone)
 	}
+	if e.opts.Follower.Behind(now, e.opts.Declared, amaranthtide.RowVersion(r.Revision)) {
+		e.requestTable(e.opts.Declared, []netip.AddrPort{r.Address}, 0)
+	}
 	// Before the registry was read, a few routers may look like all of them.
 	if !known && settled {
 		e.opts.Routers(names)
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -81,11 +81,11 @@
 	return placement.First(string(e.opts.Relayed), names, readersPerZone)
 }
 
-// Reads reports whether this router is one of the readers of its zone.
-func (e *Exchange) Reads(now time.Time) bool {
+// Rank returns the place of this router among the readers of its zone; -1 if it is none.
+func (e *Exchange) Rank(now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Contains(e.readers(now), e.opts.Self.VM)
+	return slices.Index(e.readers(now), e.opts.Self.VM)
 }
 
 // Live returns the number of other routers that reported lately.
