transport/direct: an answer that came whole is shown, a late stream is not begun

A router short of processor time read the answer at the moment at which it gave the server up as silent. The answer was shown, but the attempt counted as silent and its end cut the connection.

Change: whether an answer has begun or its server is given up is decided once. An answer that comes whole is shown in either case; a stream whose connection is being closed is not begun, so that it can be asked for elsewhere.

Measured: TestAnswerAtTheEndOfSilence and TestStreamAfterTheEndOfSilence failed before and pass after.

--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 	"slices"
-	"time"
+	"sync/atomic"
 
 	"amaranthtide"
 	"amaranthtide/protocol/completion"
@@ -13,6 +13,7 @@
 type answer struct {
 	w         amaranthtide.AnswerWriter
 	resumable bool
+	stream    bool
 	// mayHold tells that a failure of the server may give way to another attempt.
 	mayHold bool
 	// held is the server's failure that is shown if no later attempt answers; nil once
@@ -21,13 +22,22 @@
 	// holding tells that the chunks of the present attempt go into held.
 	holding bool
 	shown   bool
-	// silence runs until the answer of the present attempt begins.
-	silence *time.Timer
+	// phase is that of the present attempt, which its courier and the bound on silence change.
+	phase   atomic.Int32
 	scanner completion.Scanner
 	// partial holds the bytes of an event in progress of a resumable stream.
 	partial []byte
 }
 
+// The phases of an attempt. An attempt is silent if its answer has not begun in time;
+// it is abandoned if another server is asked then.
+const (
+	phaseWaiting int32 = iota
+	phaseBegun
+	phaseSilent
+	phaseAbandoned
+)
+
 type heldAnswer struct {
 	head amaranthtide.AnswerHead
 	body []byte
@@ -42,8 +52,10 @@
 
 // Head implements amaranthtide.AnswerWriter.
 func (a *answer) Head(h amaranthtide.AnswerHead) error {
+	if !a.begin() {
+		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "the stream began too late: %w", errSilent)
+	}
 	a.holding = false
-	a.silence.Stop()
 	if a.shown {
 		if h.Status != http.StatusOK {
 			return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "status %d for a stream that goes on", h.Status)
@@ -60,6 +72,15 @@
 	return a.w.Head(h)
 }
 
+// begin reports whether the answer of the attempt may be shown. An answer that comes
+// whole may be shown also after it was given up; a stream would be cut.
+func (a *answer) begin() bool {
+	if a.phase.CompareAndSwap(phaseWaiting, phaseBegun) || !a.stream {
+		return true
+	}
+	return a.phase.Load() != phaseAbandoned
+}
+
 // Chunk implements amaranthtide.AnswerWriter.
 func (a *answer) Chunk(b []byte) error {
 	if a.holding {
--- a/transport/direct/dispatcher_test.go
+++ b/transport/direct/dispatcher_test.go
@@ -248,3 +248,41 @@
 	is.Equal(w.heads, []int{200})
 	is.Equal(string(w.body), "id: 1\ndata: x\n\n")
 }
+
+// Guards against an answer that is cut although all of it has come, because it came
+// at the moment at which its server was given up as silent.
+func TestAnswerAtTheEndOfSilence(t *testing.T) {
+	is := is.New(t)
+	c := &courier{}
+	c.answer = func(ctx context.Context, _ amaranthtide.Attempt, _ amaranthtide.AnswerWriter) error {
+		<-ctx.Done()
+		return nil
+	}
+	w := &recorder{}
+	is.NoErr(newDispatcher(c).Serve(context.Background(), request("app", "", false), w))
+	is.Equal(c.count(), 1)
+	is.Equal(w.heads, []int{200})
+	is.Equal(string(w.body), "x")
+}
+
+// Guards against a stream that is shown although its connection is being closed: it
+// would be cut, and could not be sent again.
+func TestStreamAfterTheEndOfSilence(t *testing.T) {
+	is := is.New(t)
+	c := &courier{alone: true}
+	c.answer = func(ctx context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error {
+		if c.count() == 1 {
+			<-ctx.Done()
+		}
+		if err := w.Head(amaranthtide.AnswerHead{Attempt: a.Request.Attempt, Server: a.Server, Status: 200}); err != nil {
+			return err
+		}
+		return w.Chunk([]byte("id: 1\ndata: x\n\n"))
+	}
+	req := request("llm", "chat", false)
+	req.Stream = true
+	w := &recorder{}
+	is.NoErr(newDispatcher(c).Serve(context.Background(), req, w))
+	is.Equal(c.count(), 2)
+	is.Equal(w.heads, []int{200})
+}
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -42,7 +42,7 @@
 }
 
 func (r *run) serve(ctx context.Context) error {
-	r.answer = answer{w: r.w, resumable: r.req.Resumable}
+	r.answer.w, r.answer.resumable, r.answer.stream = r.w, r.req.Resumable, r.req.Stream
 	for {
 		in, err := r.d.pick(time.Now(), r.req, r.spec, r.tried, r.unreached)
 		if err != nil {
@@ -110,16 +110,23 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	more := r.mayRepeat(1) && len(r.d.candidates(time.Now(), r.req.Service, r.tried)) > 0
+	outcome := phaseSilent
+	if more {
+		outcome = phaseAbandoned
+	}
+	r.answer.phase.Store(phaseWaiting)
 	silence := time.AfterFunc(timeout, func() {
+		if !r.answer.phase.CompareAndSwap(phaseWaiting, outcome) {
+			return
+		}
 		r.d.note(server, func(rec *outlier.Record) { rec.Failed(time.Now()) })
 		if more {
 			cancel(errSilent)
 		}
 	})
-	r.answer.silence = silence
 	err := r.d.opts.Courier.Send(ctx, a, &r.answer)
 	silence.Stop()
-	if errors.Is(context.Cause(ctx), errSilent) {
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
 		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "server %s: %w for %s", server, errSilent, timeout)
 	}
 	return err
