--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -33,10 +33,12 @@
 
 // connection is one TCP connection to a backend server.
 type connection struct {
-	pool    *Pool
-	addr    netip.AddrPort
-	raw     *net.TCPConn
-	reader  *bufio.Reader
+	pool   *Pool
+	addr   netip.AddrPort
+	raw    *net.TCPConn
+	reader *bufio.Reader
+	// since is when the connection was opened or its last answer ended.
+	since   time.Time
 	expires time.Time
 }
 
@@ -51,7 +53,7 @@
 		_ = raw.Close()
 		return nil, amaranthtide.Errorf(amaranthtide.KindInternal, "connection to %v is %T", addr, raw)
 	}
-	return &connection{pool: p, addr: addr, raw: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}, nil
+	return &connection{pool: p, addr: addr, raw: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes), since: time.Now()}, nil
 }
 
 func (c *connection) close() { _ = c.raw.Close() }
@@ -204,7 +206,8 @@
 	if b.idle > 0 {
 		idle = min(idle, b.idle)
 	}
-	b.conn.expires = time.Now().Add(idle)
+	b.conn.since = time.Now()
+	b.conn.expires = b.conn.since.Add(idle)
 	b.conn.pool.put(b.conn)
 	return nil
 }
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -16,7 +16,9 @@
 //	defer resp.Body.Close() // keeps the connection if the body was read to its end
 //
 // A connection carries one request at a time. It is kept only if the answer ended
-// cleanly, nothing followed it and the server did not ask to close it.
+// cleanly, nothing followed it and the server did not ask to close it. After a request
+// was lost on a connection that had idled, connections that idled half as long or
+// longer are not used for a while.
 package upstream
 
 import (
@@ -24,6 +26,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"amaranthtide"
@@ -38,6 +41,12 @@
 	idlePerServer = 8
 	// sweepInterval is how often connections that idled too long are closed.
 	sweepInterval = time.Second
+	// distrustDuration is how long a shorter idle time holds after a request was lost on
+	// a connection that had idled.
+	distrustDuration = 30 * time.Second
+	// minDistrust is the shortest idle time that is distrusted: resets after less have
+	// other causes.
+	minDistrust = 50 * time.Millisecond
 )
 
 // Options are the settings of a Pool. Zero values mean the defaults.
@@ -57,6 +66,12 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	mu sync.Mutex
+	// lostIdle is the shortest idle time after which a request was lost lately, lostAt
+	// when that was last.
+	lostIdle time.Duration
+	lostAt   time.Time
 }
 
 // New returns a Pool without connections. Close it after use.
@@ -142,11 +157,15 @@
 		if err != nil {
 			return nil, err
 		}
+		idle := time.Since(c.since)
 		resp, sent, err := c.exchange(ctx, e)
 		if err == nil {
 			return resp, nil
 		}
 		c.close()
+		if kept && ctx.Err() == nil && amaranthtide.IsKind(err, amaranthtide.KindOutcomeUnknown) {
+			p.distrust(time.Now(), idle)
+		}
 		if sent || !kept {
 			return nil, err
 		}
@@ -161,7 +180,7 @@
 		if !ok {
 			break
 		}
-		if time.Now().Before(c.expires) && c.quiet() {
+		if now := time.Now(); now.Before(c.expires) && p.trusted(now, now.Sub(c.since)) && c.quiet() {
 			return c, true, nil
 		}
 		c.close()
@@ -170,6 +189,28 @@
 	return c, false, err
 }
 
+// distrust notes that a request was lost on a connection that had idled for some time.
+// Servers may drop idle connections without a word, and what is sent next is lost.
+func (p *Pool) distrust(now time.Time, idle time.Duration) {
+	if idle < minDistrust {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.lostAt) > distrustDuration || idle < p.lostIdle {
+		p.lostIdle = idle
+	}
+	p.lostAt = now
+}
+
+// trusted reports whether a connection that has idled for some time may be used. Half of
+// the time after which a request was lost is safe enough.
+func (p *Pool) trusted(now time.Time, idle time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostAt.IsZero() || now.Sub(p.lostAt) > distrustDuration || idle < p.lostIdle/2
+}
+
 func (p *Pool) pop(addr netip.AddrPort) (*connection, bool) {
 	var c *connection
 	p.idle.Update(addr, func(all []*connection, _ bool) ([]*connection, bool) {
--- a/transport/upstream/pool_test.go
+++ b/transport/upstream/pool_test.go
@@ -147,6 +147,40 @@
 	is.Equal(s.requests.Load(), int32(3))
 }
 
+// Guards against requests that are lost one after the other on connections that
+// servers dropped without a word: one loss must be enough to learn from.
+func TestDroppedIdleConnections(t *testing.T) {
+	is := is.New(t)
+	const rest = 150 * time.Millisecond
+	s := newServer(t, func(s *server, conn net.Conn, r *bufio.Reader) {
+		for {
+			asked := time.Now()
+			id := s.read(r)
+			if id == "" || time.Since(asked) >= rest {
+				_ = conn.Close() // a dropped connection: no answer
+				return
+			}
+			_, _ = io.WriteString(conn, answer(id, "x"))
+		}
+	})
+	p := newPool(t)
+	lost := 0
+	for i := range 6 {
+		if _, err := get(p, exchange(s, fmt.Sprint(i))); err != nil {
+			is.True(amaranthtide.IsKind(err, amaranthtide.KindOutcomeUnknown))
+			lost++
+		}
+		time.Sleep(rest)
+	}
+	is.Equal(lost, 1)
+	_, err := get(p, exchange(s, "a"))
+	is.NoErr(err)
+	before := s.accepted.Load()
+	_, err = get(p, exchange(s, "b")) // one that was used just now is still trusted
+	is.NoErr(err)
+	is.Equal(s.accepted.Load(), before)
+}
+
 // Guards against an answer of another request that is taken for the answer of this
 // one, whether it comes before the request or in its place.
 func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
