transport/metrics: calls to the feed by outcome, retries left by service

Cause: after a failure, an engineer on call could not tell from the metrics how often the store refused a router, nor whether a request was not sent again for want of budget.

--- a/coordination/retry/shared/budget.go
+++ b/coordination/retry/shared/budget.go
@@ -79,6 +79,12 @@
 	b.saved = min(b.stock(), b.saved+ratioShare*b.limit.Ratio)
 }
 
+// Left returns the retries that may be spent at once.
+func (b *Budget) Left(now time.Time) float64 {
+	b.refill(now)
+	return b.saved
+}
+
 // Take spends one retry and returns true, or returns false if none is left.
 func (b *Budget) Take(now time.Time) bool {
 	b.refill(now)
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -248,6 +248,16 @@
 	})
 }
 
+// RetriesLeft returns what this router may still spend on retries, by service.
+func (d *Dispatcher) RetriesLeft(now time.Time) map[amaranthtide.ServiceName]float64 {
+	left := make(map[amaranthtide.ServiceName]float64)
+	d.budgets.Range(func(service amaranthtide.ServiceName, b *shared.Budget) bool {
+		left[service] = b.Left(now)
+		return true
+	})
+	return left
+}
+
 func (d *Dispatcher) takeRetry(now time.Time, service amaranthtide.ServiceName) bool {
 	taken := false
 	d.budgets.With(service, func(b *shared.Budget, ok bool) { taken = ok && b.Take(now) })
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -64,8 +64,8 @@
 	expireInterval = 250 * time.Millisecond
 )
 
-// Options are the parts that a Follower works with. All but Gone and Logger are
-// required.
+// Options are the parts that a Follower works with. All but Observe, Gone and Logger
+// are required.
 type Options struct {
 	Feed   amaranthtide.Feed
 	Reader amaranthtide.FactReader
@@ -83,6 +83,8 @@
 	// Rank returns the place of this router among the readers of the relayed table in
 	// its zone, from 0, or NotReader.
 	Rank func(now time.Time) int
+	// Observe is called at the end of each call to the feed; nil is none.
+	Observe func(table amaranthtide.FeedTable, err error)
 	// Gone is called with each server that has left the list.
 	Gone   func(amaranthtide.BackendServerName)
 	Logger hclog.Logger
@@ -135,6 +137,9 @@
 	if opts.Gone == nil {
 		opts.Gone = func(amaranthtide.BackendServerName) {}
 	}
+	if opts.Observe == nil {
+		opts.Observe = func(amaranthtide.FeedTable, error) {}
+	}
 	f := &Follower{
 		opts:    opts,
 		listing: registration.New(),
@@ -201,7 +206,9 @@
 	f.mu.Lock()
 	f.calls[table] = cancel
 	f.mu.Unlock()
-	return f.opts.Feed.Next(ctx, table, after, wait)
+	page, err := f.opts.Feed.Next(ctx, table, after, wait)
+	f.opts.Observe(table, err)
+	return page, err
 }
 
 // Behind takes the version of the newest row of a table that another router knows. It
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -155,7 +155,7 @@
 	})
 	g.follower = follow.New(follow.Options{
 		Feed: opts.Feed, Reader: opts.Reader, Tables: []amaranthtide.FeedTable{opts.Declared, opts.Relayed}, Relayed: opts.Relayed, Relay: g.relay, Rank: g.rank, Rows: rows, Configuration: g.configuration,
-		Servers: g.servers, Gone: g.serverGone(load), Logger: logger.Named("follow"),
+		Servers: g.servers, Observe: g.meter.FeedCall, Gone: g.serverGone(load), Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
@@ -199,12 +199,21 @@
 			return err
 		}
 	}
-	if g.opts.Dropped == nil {
-		return nil
+	err := g.meter.Gauges("amaranthtide.retries.left", "Retries that this router may spend at once.", "service", g.retriesLeft)
+	if err != nil || g.opts.Dropped == nil {
+		return err
 	}
 	return g.meter.Counter("amaranthtide.log.dropped", "Log lines that were dropped.", func() int64 { return int64(g.opts.Dropped()) })
 }
 
+func (g *Gateway) retriesLeft() map[string]float64 {
+	left := make(map[string]float64)
+	for service, n := range g.dispatcher.RetriesLeft(time.Now()) {
+		left[string(service)] = n
+	}
+	return left
+}
+
 func (g *Gateway) serve(addr netip.AddrPort, h http.Handler) (*ingress.Server, error) {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
 	if err != nil {
--- a/transport/metrics/meter.go
+++ b/transport/metrics/meter.go
@@ -42,6 +42,7 @@
 	durations  metric.Float64Histogram
 	firstChunk metric.Float64Histogram
 	attempts   metric.Int64Counter
+	feedCalls  metric.Int64Counter
 	meter      metric.Meter
 }
 
@@ -76,8 +77,12 @@
 		metric.WithDescription("Time from a caller's request to the first bytes of its answer.")); err != nil {
 		return err
 	}
-	m.attempts, err = m.meter.Int64Counter("amaranthtide.attempts",
-		metric.WithDescription("Attempts sent to backend servers, by result."))
+	if m.attempts, err = m.meter.Int64Counter("amaranthtide.attempts",
+		metric.WithDescription("Attempts sent to backend servers, by result.")); err != nil {
+		return err
+	}
+	m.feedCalls, err = m.meter.Int64Counter("amaranthtide.feed.calls",
+		metric.WithDescription("Calls to the platform's feed, by table and result."))
 	return err
 }
 
@@ -102,6 +107,24 @@
 		attribute.String("result", result(err)), attribute.String("target", target(req))))
 }
 
+// FeedCall records the end of a call to the platform's feed.
+func (m *Meter) FeedCall(table amaranthtide.FeedTable, err error) {
+	m.feedCalls.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("result", result(err)), attribute.String("table", string(table))))
+}
+
+// Gauges registers a value for each name of a kind of things, of which there are few.
+func (m *Meter) Gauges(name, description, kind string, read func() map[string]float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for thing, value := range read() {
+				o.Observe(value, metric.WithAttributes(attribute.String(kind, thing)))
+			}
+			return nil
+		}))
+	return err
+}
+
 // Gauge registers a value that is read when metrics are collected.
 func (m *Meter) Gauge(name, description string, read func() int64) error {
 	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
