--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -18,6 +19,13 @@
 	streamEvents = 8
 	eventPause   = 15 * time.Millisecond
 	workTime     = 5 * time.Millisecond
+	// Parts of the requests that a server fails, breaks off midway, and answers at about
+	// the time at which a router asks another server (twice the objective of the routes).
+	failShare  = 0.04
+	breakShare = 0.04
+	lateShare  = 0.04
+	lateTime   = 590 * time.Millisecond
+	lateSpread = 20 * time.Millisecond
 )
 
 // backend is a server behind a link.
@@ -31,15 +39,43 @@
 	// leaving and out are when the server was last told to leave, and when its zone
 	// was taken out of service; zero if they are not.
 	leaving, out time.Time
+	// random draws how requests end.
+	random *rand.Rand
+}
+
+// ending is how a server ends a request.
+type ending int
+
+const (
+	endsWell ending = iota
+	endsFailed
+	endsBroken
+	endsLate
+)
+
+func (b *backend) draw() (how ending, late time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	late = lateTime + time.Duration(b.random.Int64N(int64(lateSpread)))
+	switch draw := b.random.Float64(); {
+	case draw < failShare:
+		return endsFailed, late
+	case draw < failShare+breakShare:
+		return endsBroken, late
+	case draw < failShare+breakShare+lateShare:
+		return endsLate, late
+	}
+	return endsWell, late
 }
 
 func (s *soak) newBackend(service, zone string) (*backend, error) {
 	s.mu.Lock()
 	s.servers++
+	random := rand.New(rand.NewPCG(s.opts.Seed, 2000+uint64(s.servers)))
 	name := fmt.Sprintf("i-%s-%d", service, s.servers)
 	out := s.out[zone]
 	s.mu.Unlock()
-	b := &backend{Server: standin.NewServer(name), name: name, service: service, zone: zone, soak: s, out: out}
+	b := &backend{Server: standin.NewServer(name), name: name, service: service, zone: zone, soak: s, out: out, random: random}
 	var err error
 	if b.link, err = newLink(b.Addr()); err != nil {
 		b.Close()
@@ -66,11 +102,23 @@
 // serve answers a request that runs here, and checks that it may.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	b.arrived(time.Now(), r)
+	how, late := b.draw()
+	switch how {
+	case endsFailed:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = fmt.Fprint(w, "failed")
+		return
+	case endsLate:
+		time.Sleep(late)
+	}
 	if b.service == serviceEngine {
-		b.stream(w, r)
+		b.stream(w, r, how == endsBroken)
 		return
 	}
 	time.Sleep(workTime)
+	if how == endsBroken {
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = fmt.Fprint(w, answerText(r.Header.Get(standin.HeaderRequestID), b.name))
 }
 
@@ -80,7 +128,8 @@
 	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n)
 }
 
-func (b *backend) stream(w http.ResponseWriter, r *http.Request) {
+// stream sends the events; one that breaks off ends in the middle.
+func (b *backend) stream(w http.ResponseWriter, r *http.Request, breaksOff bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from := 0
 	if text := r.Header.Get(standin.HeaderResume); text != "" {
@@ -91,6 +140,9 @@
 		}
 	}
 	for n := from + 1; n <= streamEvents; n++ {
+		if breaksOff && n > streamEvents/2 {
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprint(w, eventText(r.Header.Get(standin.HeaderRequestID), n))
 		_ = http.NewResponseController(w).Flush() // the caller may have left
 		select {
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -15,6 +16,9 @@
 const (
 	callPause   = 25 * time.Millisecond
 	callTimeout = 4 * time.Second
+	// crossing is how long before its connection closes a request may have been sent
+	// without being read.
+	crossing = 200 * time.Millisecond
 )
 
 // paths are the routes of standin.Config by what may be repeated.
@@ -52,7 +56,11 @@
 	key, keyGone := c.soak.key(c.random)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.callers.String()+path, nil)
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+	// net/http sends a request with a body that can't be read again only once.
+	body := io.NopCloser(strings.NewReader(path))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+r.callers.String()+path, body)
 	if err != nil {
 		c.soak.violate(time.Now(), "soak", "request: %v", err)
 		return false
@@ -67,19 +75,33 @@
 	resp, err := c.client.Transport.RoundTrip(req)
 	if err != nil {
 		c.soak.count("no answer")
+		if reused && ctx.Err() == nil {
+			c.checkLost(time.Now(), sent, id, path, r, err)
+		}
 		return false
 	}
-	body, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	if err != nil {
 		c.soak.count("cut answer")
 		return false
 	}
 	c.soak.count(fmt.Sprint(resp.StatusCode))
-	c.check(sent, id, path, r, keyGone, resp, string(body))
+	c.check(sent, id, path, r, keyGone, resp, string(text))
 	return resp.StatusCode == http.StatusOK
 }
 
+// checkLost judges a request on a kept connection that ended without an answer. Streams
+// are left out: a server may have broken them off.
+func (c *caller) checkLost(now, sent time.Time, id, path string, r *router, err error) {
+	if strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/draft/") || now.Sub(sent) <= crossing {
+		return
+	}
+	if r.keepsConnections(now, now.Sub(sent)+contact) {
+		c.soak.violate(now, "lost", "request %s %s at %s ended without an answer %s after it was sent: %v", id, path, r.name, now.Sub(sent), err)
+	}
+}
+
 // check judges a complete answer.
 func (c *caller) check(sent time.Time, id, path string, r *router, keyGone time.Time, resp *http.Response, body string) {
 	now := time.Now()
--- a/cmd/internal/soak/doc.go
+++ b/cmd/internal/soak/doc.go
@@ -5,7 +5,8 @@
 // Faults are drawn from a seed: signals that stop, kill, freeze, thaw and reload
 // routers; a store that refuses, delays or goes silent, for all routers or for one;
 // links to servers that delay, reset, cut one way or go silent; servers that crash,
-// leave, turn cold and come back; changes of the configuration and of zones. They
+// leave, turn cold and come back, and that fail, break off or delay some of their
+// answers; changes of the configuration and of zones. They
 // overlap and repeat. Only processes that the soak started are ended, by their ids.
 //
 // # Usage
--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -29,6 +29,8 @@
 	ended chan struct{}
 	// calmSince is when the router was last disturbed by the soak.
 	calmSince time.Time
+	// brokenOff is when connections of the router were last lost by a kill or a freeze.
+	brokenOff time.Time
 	starts    int
 }
 
@@ -106,6 +108,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calmSince = now
+	if s != syscall.SIGTERM && s != syscall.SIGHUP {
+		r.brokenOff = now
+	}
 	if r.cmd != nil {
 		_ = r.cmd.Process.Signal(s) // it may just have ended
 	}
@@ -124,6 +129,14 @@
 	return r.cmd != nil && now.Sub(r.calmSince) >= d
 }
 
+// keepsConnections reports whether nothing but planned work has happened to the router
+// for a time, so that a connection with a request must not end without an answer.
+func (r *router) keepsConnections(now time.Time, d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.brokenOff) >= d
+}
+
 // stop ends the process, by force if it outlasts the grace.
 func (r *router) stop() {
 	r.mu.Lock()
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -92,7 +92,7 @@
 	broken    []Violation
 }
 
-// Run plays one seed.
+// Run plays one seed. When ctx ends it stops the routers and returns an error.
 func Run(ctx context.Context, opts Options) (Report, error) {
 	s := &soak{
 		opts: opts, began: time.Now(), store: standin.NewStore(), out: make(map[string]time.Time),
@@ -108,6 +108,9 @@
 		return Report{}, fmt.Errorf("seed %d: the fleet didn't come up, see %s", opts.Seed, opts.Dir)
 	}
 	s.play(ctx)
+	if err := ctx.Err(); err != nil {
+		return Report{}, fmt.Errorf("seed %d: %w", opts.Seed, err)
+	}
 	if !s.served(ctx) {
 		s.violate(time.Now(), "recover", "the fleet doesn't serve %s after the last fault", recovery)
 	}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -16,7 +16,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -38,11 +40,14 @@
 	build.Stderr = os.Stderr
 	app.FatalIfError(build.Run(), "build of the router")
 
+	// A signal ends the run in order, so that no router outlives it.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	failed := false
 	for i := range *seeds {
 		logs := filepath.Join(dir, fmt.Sprint(*seed+uint64(i)))
 		app.FatalIfError(os.Mkdir(logs, 0o700), "directory of the logs")
-		report, err := soak.Run(context.Background(), soak.Options{
+		report, err := soak.Run(ctx, soak.Options{
 			Seed: *seed + uint64(i), Duration: *duration, Router: []string{binary}, Dir: logs,
 		})
 		app.FatalIfError(err, "soak")
--- a/transport/ingress/connection.go
+++ b/transport/ingress/connection.go
@@ -3,7 +3,8 @@
 import (
 	"net"
 	"sync/atomic"
-	"syscall"
+
+	"amaranthtide/transport/internal/socket"
 )
 
 // acceptor makes the connections of a listener known to the Server.
@@ -35,21 +36,6 @@
 }
 
 // busy reports whether a request is in progress or waits in the socket.
-func (c *connection) busy() bool { return c.unread() || c.reading.Load() }
-
-// unread reports whether bytes wait in the socket. A connection of which that can't be
-// told counts as having none.
-func (c *connection) unread() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	var first [1]byte
-	err = raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // an error is no byte
-	})
-	return err == nil && n > 0
-}
+func (c *connection) busy() bool { return socket.Look(c.TCPConn) == socket.Waiting || c.reading.Load() }
 
 var _ net.Conn = (*connection)(nil)
--- /dev/null
+++ b/transport/internal/socket/socket.go
@@ -0,0 +1,54 @@
+// Package socket looks into the sockets of connections without reading from them.
+//
+// # Usage
+//
+//	if socket.Look(conn) == socket.Waiting {
+//		// The peer has sent something that was not read yet.
+//	}
+package socket
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// State is what a socket holds for its reader.
+type State int
+
+// The states. Unknown is a socket that can't be looked into, such as a closed one.
+const (
+	Unknown State = iota
+	// Empty is an open connection without unread bytes.
+	Empty
+	// Waiting is a connection with unread bytes.
+	Waiting
+	// Ended is a connection that the peer has closed.
+	Ended
+)
+
+// Look returns the state of the connection's socket. It doesn't block.
+func Look(c *net.TCPConn) State {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return Unknown
+	}
+	n := 0
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		var first [1]byte
+		n, _, peeked = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	switch {
+	case err != nil:
+		return Unknown
+	case errors.Is(peeked, syscall.EAGAIN):
+		return Empty
+	case peeked != nil:
+		return Unknown
+	case n > 0:
+		return Waiting
+	default:
+		return Ended
+	}
+}
--- /dev/null
+++ b/transport/internal/socket/socket_test.go
@@ -0,0 +1,51 @@
+package socket_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"amaranthtide/transport/internal/socket"
+)
+
+// Guards against a kept connection that is taken for idle although a request waits on
+// it, and against one that is used although its peer has closed it.
+func TestLook(t *testing.T) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect := func(want socket.State) {
+		t.Helper()
+		var got socket.State
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			if got = socket.Look(c); got == want {
+				return
+			}
+		}
+		t.Fatalf("got: state %d, want: %d", got, want)
+	}
+	expect(socket.Empty)
+	if _, err := io.WriteString(peer, "x"); err != nil {
+		t.Fatal(err)
+	}
+	expect(socket.Waiting)
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	expect(socket.Empty)
+	_ = peer.Close()
+	expect(socket.Ended)
+	_ = c.Close()
+	expect(socket.Unknown)
+}
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -10,10 +10,10 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/transport/internal/socket"
 )
 
 const (
@@ -61,21 +61,7 @@
 // quiet reports whether an idle connection is still open and holds no bytes. Bytes
 // there belong to no request.
 func (c *connection) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peeked error
-	n := 0
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && n <= 0 && errors.Is(peeked, syscall.EAGAIN)
+	return c.reader.Buffered() == 0 && socket.Look(c.raw) == socket.Empty
 }
 
 // exchange sends the request and reads the head of its answer. It tells whether a
