transport/peers, transport/follow: the second reader gets what the first reads

Cause: the second reader of a zone stands by while it hears the first, but pages were passed on to routers that are no readers only, so that it read all the time. A router that is behind ended its call after a second even if newer rows kept coming, which in a series of large configurations on a slow link would end one call after the other.

Change: pages go to all routers of the zone. A call ends only if nothing has come for a second. In the soak a reload no longer counts as a disturbance, which hid servers that had left.

--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -103,13 +103,17 @@
 	close(ended)
 }
 
-// signal sends a signal to the process, if it runs, and marks the router disturbed.
+// signal sends a signal to the process, if it runs, and marks the router disturbed. A
+// reload is no disturbance.
 func (r *router) signal(now time.Time, s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.calmSince = now
-	if s != syscall.SIGTERM && s != syscall.SIGHUP {
-		r.brokenOff = now
+	switch s {
+	case syscall.SIGHUP:
+	case syscall.SIGTERM:
+		r.calmSince = now
+	default:
+		r.calmSince, r.brokenOff = now, now
 	}
 	if r.cmd != nil {
 		_ = r.cmd.Process.Signal(s) // it may just have ended
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -20,28 +20,29 @@
 }
 
 // Behind takes the version of the newest row of a table that another router knows. It
-// reports whether this router should have that row by now: the call in flight is then
-// lost, and ends.
+// reports whether this router should have that row by now, since nothing has come for a
+// while: the call in flight is then lost, and ends.
 func (f *Follower) Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.opts.Rows.Version(table).Or(0) >= newest {
+	version := f.opts.Rows.Version(table).Or(0)
+	if version >= newest {
 		delete(f.behind, table)
 		return false
 	}
-	since, ok := f.behind[table]
-	if !ok {
-		f.behind[table] = now
+	known, ok := f.behind[table]
+	if !ok || known.version != version {
+		f.behind[table] = lag{now, version}
 		return false
 	}
-	if now.Sub(since) < behindAge {
+	if now.Sub(known.since) < behindAge {
 		return false
 	}
 	delete(f.behind, table)
 	if cancel, ok := f.calls[table]; ok {
 		cancel()
 	}
-	f.opts.Logger.Warn("feed is behind other routers", "table", table, "version", f.opts.Rows.Version(table).Or(0), "newest", newest)
+	f.opts.Logger.Warn("feed is behind other routers", "table", table, "version", version, "newest", newest)
 	return true
 }
 
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -111,7 +111,7 @@
 	// calls holds what ends the call in flight of a table.
 	calls map[amaranthtide.FeedTable]context.CancelFunc
 	// behind holds since when other routers know newer rows.
-	behind map[amaranthtide.FeedTable]time.Time
+	behind map[amaranthtide.FeedTable]lag
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -124,6 +124,12 @@
 	calls int
 }
 
+// lag tells since when a table has stood at a version while others know newer rows.
+type lag struct {
+	since   time.Time
+	version amaranthtide.RowVersion
+}
+
 type rowKey struct {
 	table amaranthtide.FeedTable
 	key   string
@@ -147,7 +153,7 @@
 		zones:   make(map[rowKey]amaranthtide.ZoneName),
 		failing: make(map[amaranthtide.FeedTable]failure),
 		calls:   make(map[amaranthtide.FeedTable]context.CancelFunc),
-		behind:  make(map[amaranthtide.FeedTable]time.Time),
+		behind:  make(map[amaranthtide.FeedTable]lag),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -108,14 +108,13 @@
 }
 
 // Relay passes a page of the relayed table, read after the given version, on to the
-// routers of the zone that don't read it.
+// routers of the zone. The second reader stands by as long as it gets them.
 func (e *Exchange) Relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
 	now := time.Now()
 	e.mu.Lock()
-	readers := e.readers(now)
 	var to []netip.AddrPort
-	for name, r := range e.routers {
-		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge && !slices.Contains(readers, name) {
+	for _, r := range e.routers {
+		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge {
 			to = append(to, r.addr)
 		}
 	}
