transport/peers: a router that does not read the list asks for what it missed

The first reader of the zone had just restarted and did not know the second one yet, so that this one missed a server that left. It asked nobody, since readers don't ask, and did not read, since it heard the first one.

Change: whoever does not read the list asks twice a second, whatever its rank; a page whose predecessors are missing is followed by a question at once.

--- /dev/null
+++ b/transport/peers/exchange_test.go
@@ -0,0 +1,161 @@
+package peers_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+
+	"amaranthtide"
+	"amaranthtide/protocol/message"
+	"amaranthtide/state/feed"
+	"amaranthtide/state/traffic"
+	"amaranthtide/transport/mesh"
+	"amaranthtide/transport/peers"
+)
+
+var addr = netip.MustParseAddrPort("127.0.0.1:9")
+
+const listing = amaranthtide.FeedTable("listing")
+
+// network is a peers.Mesh that keeps what is published and delivers what a test sends.
+type network struct {
+	mu        sync.Mutex
+	published map[string]int
+	topics    map[string]chan *watermill.Message
+}
+
+func newNetwork() *network {
+	return &network{published: make(map[string]int), topics: make(map[string]chan *watermill.Message)}
+}
+
+func (n *network) Publisher() watermill.Publisher   { return n }
+func (n *network) Subscriber() watermill.Subscriber { return n }
+
+func (n *network) Publish(topic string, messages ...*watermill.Message) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.published[topic] += len(messages)
+	return nil
+}
+
+func (n *network) Subscribe(ctx context.Context, topic string) (<-chan *watermill.Message, error) {
+	in, out := make(chan *watermill.Message), make(chan *watermill.Message)
+	n.mu.Lock()
+	n.topics[topic] = in
+	n.mu.Unlock()
+	go func() {
+		defer close(out)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case m := <-in:
+				out <- m
+			}
+		}
+	}()
+	return out, nil
+}
+
+func (n *network) Close() error { return nil }
+
+func (n *network) count(topic string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.published[topic]
+}
+
+// deliver sends a message of the router at addr.
+func (n *network) deliver(t *testing.T, topic string, m message.Message) {
+	t.Helper()
+	payload, err := message.Append(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.mu.Lock()
+	in := n.topics[topic]
+	n.mu.Unlock()
+	msg := watermill.NewMessage("1", payload)
+	msg.Metadata.Set(mesh.MetadataSender, addr.String())
+	in <- msg
+}
+
+// follower is a peers.Follower whose feed works.
+type follower struct{ reading atomic.Bool }
+
+func (*follower) Away(time.Time) []amaranthtide.FeedTable { return nil }
+func (*follower) Apply(time.Time, amaranthtide.FeedTable, amaranthtide.FeedPage) {
+}
+func (*follower) PeerReads(time.Time, amaranthtide.FeedTable) {}
+func (*follower) Behind(time.Time, amaranthtide.FeedTable, amaranthtide.RowVersion) bool {
+	return false
+}
+func (f *follower) Reading(time.Time, amaranthtide.FeedTable) bool { return f.reading.Load() }
+
+// store is a registry without routers.
+type store struct{}
+
+func (store) Next(context.Context, amaranthtide.FeedTable, amaranthtide.Option[amaranthtide.RowVersion], time.Duration) (amaranthtide.FeedPage, error) {
+	return amaranthtide.FeedPage{Whole: true, Version: 1}, nil
+}
+func (store) Register(context.Context, amaranthtide.RouterEntry) error { return nil }
+func (store) Read(time.Time, amaranthtide.FeedRow) (amaranthtide.Fact, error) {
+	return amaranthtide.Fact{}, nil
+}
+
+func start(t *testing.T, name amaranthtide.VMName, n *network, f *follower) *peers.Exchange {
+	t.Helper()
+	e := peers.New(peers.Options{
+		Self: amaranthtide.RouterEntry{VM: name, Zone: "a", Address: addr}, Incarnation: 1, Mesh: n, Traffic: traffic.New(),
+		Follower: f, Rows: feed.New(), Relayed: listing, Declared: "operator", Registry: store{}, RegistryTable: "routers",
+		Registrar: store{}, Reader: store{}, Routers: func([]amaranthtide.VMName) {},
+	})
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// Guards against a second reader that stands by, misses what the first one passed on
+// and never asks for it: servers that leave stayed in use there.
+func TestRouterThatDoesNotReadAsks(t *testing.T) {
+	for _, name := range []amaranthtide.VMName{"vm-a", "vm-z"} { // the first and the second reader, in some order
+		n, f := newNetwork(), &follower{}
+		e := start(t, name, n, f)
+		n.deliver(t, message.TopicReport, message.NewReport(amaranthtide.Report{
+			VM: "vm-m", Zone: "a", Address: addr, Incarnation: 1, Sequence: 1, Interval: time.Second,
+		}))
+		time.Sleep(1500 * time.Millisecond)
+		if n.count(message.TopicRowsWanted) == 0 {
+			t.Errorf("%s of rank %d: got: no question for rows, want: one twice a second", name, e.Rank(time.Now()))
+		}
+		f.reading.Store(true)
+		time.Sleep(300 * time.Millisecond) // a question may be under way
+		before := n.count(message.TopicRowsWanted)
+		time.Sleep(1200 * time.Millisecond)
+		if after := n.count(message.TopicRowsWanted); after != before {
+			t.Errorf("%s: got: %d questions of a router that reads, want: none", name, after-before)
+		}
+	}
+}
+
+// Guards against a router that waits for its next turn to ask although it sees that it
+// has missed changes.
+func TestMissedRowsAreAskedForAtOnce(t *testing.T) {
+	n := newNetwork()
+	start(t, "vm-a", n, &follower{})
+	before := n.count(message.TopicRowsWanted)
+	page := amaranthtide.FeedPage{Version: 7, Rows: []amaranthtide.FeedRow{{Table: listing, Key: "e1", Version: 7, Value: []byte("{}")}}}
+	n.deliver(t, message.TopicRows, message.NewRows(listing, 5, page, true))
+	for deadline := time.Now().Add(200 * time.Millisecond); n.count(message.TopicRowsWanted) == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("got: no question within 200 ms, want: one")
+		}
+	}
+}
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -14,7 +14,7 @@
 )
 
 // requestRows asks one router for the rows of the tables whose feed is away, and a reader of
-// the zone for those of the relayed table.
+// the zone for those of the relayed table unless this router reads it.
 func (e *Exchange) requestRows(now time.Time) {
 	away := e.opts.Follower.Away(now)
 	e.mu.Lock()
@@ -37,7 +37,8 @@
 		}
 		e.requestTable(table, to, next)
 	}
-	if !slices.Contains(readers, e.opts.Self.VM) && !slices.Contains(away, e.opts.Relayed) {
+	// The second reader, too, may have missed what the first one has passed on.
+	if !e.opts.Follower.Reading(now, e.opts.Relayed) && !slices.Contains(away, e.opts.Relayed) {
 		e.requestTable(e.opts.Relayed, e.addressesOf(readers), next)
 	}
 }
@@ -122,15 +123,23 @@
 	e.publish(message.TopicRows, message.NewRows(e.opts.Relayed, after, page, true), to)
 }
 
+// sender returns the address of the router that has sent a message.
+func (e *Exchange) sender(msg *watermill.Message) (netip.AddrPort, bool) {
+	addr, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender))
+	if err != nil {
+		e.opts.Logger.Warn("message of a router without an address", "error", err)
+	}
+	return addr, err == nil
+}
+
 // rowsWanted answers another router that can't read the feed.
 func (e *Exchange) rowsWanted(msg *watermill.Message) {
 	var m message.RowsWanted
 	if !e.decode(msg, &m) {
 		return
 	}
-	sender, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender))
-	if err != nil {
-		e.opts.Logger.Warn("rows wanted by a router without an address", "error", err)
+	sender, ok := e.sender(msg)
+	if !ok {
 		return
 	}
 	table, after := amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After)
@@ -163,8 +172,11 @@
 		return
 	}
 	if have := e.opts.Rows.Version(table).Or(0); !page.Whole && amaranthtide.RowVersion(m.After) > have {
-		// Changes before these were missed; the next question brings them.
+		// Changes before these were missed.
 		page.Version = have
+		if sender, ok := e.sender(msg); ok {
+			e.requestTable(table, []netip.AddrPort{sender}, 0)
+		}
 	}
 	e.opts.Logger.Debug("rows taken from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
 		"rows", len(page.Rows), "version", page.Version)
