cmd/internal/soak: hold routers to bounds as soon as they are in touch

A router was accountable only if nothing had disturbed it since before the change, which with three loops of faults is hardly ever so.

Disturbances are kept as intervals. Zones stay out, and servers that left stay up, long enough for the check.

--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -97,7 +97,7 @@
 	if strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/draft/") || now.Sub(sent) <= crossing {
 		return
 	}
-	if r.keepsConnections(now, now.Sub(sent)+contact) {
+	if r.brokenOff.calm(now, now.Sub(sent)+contact) {
 		c.soak.violate(now, "lost", "request %s %s at %s ended without an answer %s after it was sent: %v", id, path, r.name, now.Sub(sent), err)
 	}
 }
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -55,20 +55,20 @@
 	}},
 	{"storeRefuses", func(s *soak, ctx context.Context, random *rand.Rand) {
 		status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusInternalServerError}
-		s.disturbStore(time.Now())
+		end := s.storeDisturbed.begin(time.Now())
 		s.store.SetStatus(status[random.IntN(len(status))])
 		s.pause(ctx, random, 500*time.Millisecond, 5*time.Second)
 		s.store.SetStatus(0)
-		s.disturbStore(time.Now())
+		end(time.Now())
 	}},
 	{"storeForgets", func(s *soak, _ context.Context, _ *rand.Rand) { s.store.Forget() }},
 	{"storeLink", func(s *soak, ctx context.Context, random *rand.Rand) {
 		r := s.anyRouter(random)
-		r.disturbed(time.Now())
+		end := r.disturbed.begin(time.Now())
 		r.store.set(linkFault(1 + random.IntN(int(linkFaults)-1)))
 		s.pause(ctx, random, 500*time.Millisecond, 5*time.Second)
 		r.store.set(linkFine)
-		r.disturbed(time.Now())
+		end(time.Now())
 	}},
 	{"serverLink", func(s *soak, ctx context.Context, random *rand.Rand) {
 		b := s.anyBackend(random)
@@ -84,7 +84,7 @@
 		if !s.takeZone(zone) {
 			return
 		}
-		s.pause(ctx, random, 2*time.Second, 7*time.Second)
+		s.pause(ctx, random, 2*time.Second, outBound+3*time.Second)
 		s.returnZone(zone)
 	}},
 	{"changeConfiguration", func(s *soak, ctx context.Context, random *rand.Rand) {
@@ -162,6 +162,6 @@
 	old.mu.Lock()
 	old.leaving = time.Now()
 	old.mu.Unlock()
-	s.pause(ctx, random, drainBound, drainBound+2*time.Second)
+	s.pause(ctx, random, drainBound, drainBound+4*time.Second)
 	s.store.Put(standin.TableServers, old.name, nil)
 }
--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -24,14 +24,14 @@
 	listen     netip.AddrPort
 	store      *link
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	ended chan struct{}
-	// calmSince is when the router was last disturbed by the soak.
-	calmSince time.Time
-	// brokenOff is when connections of the router were last lost by a kill or a freeze.
-	brokenOff time.Time
-	starts    int
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	starts int
+	// disturbed are the times in which the soak disturbed the router, brokenOff those in
+	// which it may have lost connections by a kill or a freeze.
+	disturbed disturbances
+	brokenOff disturbances
 }
 
 const settingsTemplate = `[router]
@@ -87,7 +87,8 @@
 		_ = out.Close()
 		return err
 	}
-	r.cmd, r.ended, r.calmSince = cmd, make(chan struct{}), now
+	r.cmd, r.ended = cmd, make(chan struct{})
+	r.disturbed.at(now)
 	r.starts++
 	go r.run(cmd, out, r.ended)
 	return nil
@@ -111,36 +112,16 @@
 	switch s {
 	case syscall.SIGHUP:
 	case syscall.SIGTERM:
-		r.calmSince = now
+		r.disturbed.at(now)
 	default:
-		r.calmSince, r.brokenOff = now, now
+		r.disturbed.at(now)
+		r.brokenOff.at(now)
 	}
 	if r.cmd != nil {
 		_ = r.cmd.Process.Signal(s) // it may just have ended
 	}
 }
 
-func (r *router) disturbed(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.calmSince = now
-}
-
-// calm reports whether the router ran without a disturbance for a time.
-func (r *router) calm(now time.Time, d time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cmd != nil && now.Sub(r.calmSince) >= d
-}
-
-// keepsConnections reports whether nothing but planned work has happened to the router
-// for a time, so that a connection with a request must not end without an answer.
-func (r *router) keepsConnections(now time.Time, d time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Sub(r.brokenOff) >= d
-}
-
 // stop ends the process, by force if it outlasts the grace.
 func (r *router) stop() {
 	r.mu.Lock()
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -72,14 +72,14 @@
 	began   time.Time
 	store   *standin.Store
 	routers []*router
+	// storeDisturbed are the times in which the store was disturbed for all routers.
+	storeDisturbed disturbances
 
 	mu       sync.Mutex
 	servers  int
 	backends []*backend
 	left     []*backend
-	// storeCalm is when the store was last disturbed for all routers.
-	storeCalm time.Time
-	version   int
+	version  int
 	// spare is the key that comes and goes; spareGone is when it went.
 	spare     string
 	spareGone time.Time
@@ -99,7 +99,7 @@
 		runs: make(map[string]int), refusals: make(map[string]bool), answers: make(map[string]int),
 	}
 	defer s.store.Close()
-	s.storeCalm = s.began
+	s.storeDisturbed.at(s.began)
 	if err := s.build(); err != nil {
 		return Report{}, err
 	}
@@ -298,21 +298,16 @@
 	}
 }
 
-func (s *soak) disturbStore(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeCalm = now
-}
-
-// accountable reports whether a bound that began at from holds for a router: it and
-// the store were undisturbed from well before.
+// accountable reports whether a bound that began at from holds for a router now: the
+// store was undisturbed from well before it acknowledged the change, and the store and
+// the router have been so lately.
 func (s *soak) accountable(now time.Time, name string, from time.Time) bool {
-	s.mu.Lock()
-	calm := from.Sub(s.storeCalm) >= contact
-	s.mu.Unlock()
+	if !s.storeDisturbed.calm(from, contact) || !s.storeDisturbed.calm(now, contact) {
+		return false
+	}
 	for _, r := range s.routers {
 		if r.name == name {
-			return calm && r.calm(now, now.Sub(from)+contact)
+			return r.disturbed.calm(now, contact)
 		}
 	}
 	return false
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -46,10 +46,10 @@
 // twice and one that refuses what has run, and hold only calm routers to bounds.
 func TestChecksFind(t *testing.T) {
 	now := time.Now()
-	r := &router{name: "vm-a-0", calmSince: now.Add(-time.Hour)}
+	r := &router{name: "vm-a-0"}
 	r.cmd = &exec.Cmd{}
 	s := &soak{
-		opts: Options{Seed: 1}, began: now.Add(-time.Hour), storeCalm: now.Add(-time.Hour), routers: []*router{r},
+		opts: Options{Seed: 1}, began: now.Add(-time.Hour), routers: []*router{r},
 		runs: make(map[string]int), refusals: make(map[string]bool), answers: make(map[string]int),
 	}
 	s.ran(now, "1", "/pay/1")
@@ -61,8 +61,19 @@
 	if !s.accountable(now, "vm-a-0", now.Add(-time.Minute)) {
 		t.Error("got: a calm router that is not accountable, want: accountable")
 	}
-	r.disturbed(now.Add(-time.Second))
+	end := s.storeDisturbed.begin(now.Add(-time.Minute - time.Second))
+	if s.accountable(now, "vm-a-0", now.Add(-2*time.Minute)) {
+		t.Error("got: accountable while the store is disturbed, want: not")
+	}
+	end(now.Add(-30 * time.Second))
 	if s.accountable(now, "vm-a-0", now.Add(-time.Minute)) {
+		t.Error("got: a change that a disturbed store took is accountable, want: not")
+	}
+	if !s.accountable(now, "vm-a-0", now.Add(-time.Second)) {
+		t.Error("got: a later change that is not accountable, want: accountable")
+	}
+	r.disturbed.at(now.Add(-time.Second))
+	if s.accountable(now, "vm-a-0", now.Add(-20*time.Second)) {
 		t.Error("got: a disturbed router that is accountable, want: not")
 	}
 	found := make(map[string]int)
