transport/peers, state/traffic: gather the loads of the fleet along a tree

Cause: every router sent its report to every other one.

Change: the routers of a zone report to its hub, the first in a rendezvous order of those not suspected. Hubs exchange the sums of their zones and tell the totals to the routers that report to them. coordination/suspicion is the failure detector: an unanswered question for 1.3 s passes the place on, a probe each 2 s takes it back. Reports carry the newest row of the registry, so that added routers are known at once; a restart no longer writes to it.

Tests in coordination/suspicion, state/traffic and transport/peers (tree_test.go) use a fake clock. TestReaderRelays counts only pages with rows, as before.

--- /dev/null
+++ b/coordination/suspicion/detector_test.go
@@ -0,0 +1,54 @@
+package suspicion_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide/coordination/suspicion"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+const silence = time.Second
+
+// Guards against a dead router that keeps its place because each question to it begins
+// the silence anew.
+func TestSilenceCountsFromTheFirstQuestion(t *testing.T) {
+	is := is.New(t)
+	d := suspicion.New()
+	for i := range 5 {
+		d.Asked(start.Add(time.Duration(i)*300*time.Millisecond), "vm-1")
+	}
+	is.True(!d.Suspected(start.Add(silence), "vm-1", silence))
+	is.True(d.Suspected(start.Add(silence+time.Millisecond), "vm-1", silence))
+	d.Heard("vm-1")
+	is.True(!d.Suspected(start.Add(time.Hour), "vm-1", silence))
+}
+
+// Guards against suspicion of a router that was never asked: it would be replaced while
+// it serves.
+func TestRoutersThatAreNotAskedAreTrusted(t *testing.T) {
+	is := is.New(t)
+	d := suspicion.New()
+	is.True(!d.Suspected(start.Add(time.Hour), "vm-1", silence))
+	d.Heard("vm-1")
+	is.True(!d.Suspected(start.Add(time.Hour), "vm-1", silence))
+	is.True(!d.Probe(start.Add(time.Hour), "vm-1"))
+}
+
+// Guards against a suspected router that is never asked again, and against one that is
+// asked at each turn.
+func TestSuspectedRoutersAreProbedNowAndThen(t *testing.T) {
+	is := is.New(t)
+	d := suspicion.New()
+	d.Asked(start, "vm-1")
+	probes := 0
+	for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(250 * time.Millisecond) {
+		if d.Probe(at, "vm-1") {
+			probes++
+		}
+	}
+	is.Equal(probes, 4)
+}
--- a/protocol/message/control.go
+++ b/protocol/message/control.go
@@ -12,6 +12,11 @@
 	TopicGroupLoad     = "groupLoad"
 	TopicRows          = "rows"
 	TopicRowsWanted    = "rowsWanted"
+	// TopicLoads goes from a router to the hub of its zone, TopicZoneLoads from hub to
+	// hub, TopicTotals from a hub to the routers that report to it.
+	TopicLoads     = "loads"
+	TopicZoneLoads = "zoneLoads"
+	TopicTotals    = "totals"
 )
 
 // Control carries one control message.
--- /dev/null
+++ b/protocol/message/load_report.go
@@ -0,0 +1,85 @@
+package message
+
+import "amaranthtide"
+
+// LoadReport is the wire form of amaranthtide.LoadReport.
+type LoadReport struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
+
+	VM          string
+	Zone        string
+	Address     []byte
+	Incarnation uint64
+	Sequence    uint64
+	Declared    uint64
+	Registry    uint64
+	Hubs        []string
+	Loads       []InFlight
+}
+
+// InFlight counts the requests in flight at one server in a LoadReport.
+type InFlight struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
+
+	Server string
+	Count  uint32
+}
+
+// NewLoadReport returns the wire form of r.
+func NewLoadReport(r amaranthtide.LoadReport) *LoadReport {
+	hubs := make([]string, len(r.Hubs))
+	for i, vm := range r.Hubs {
+		hubs[i] = string(vm)
+	}
+	loads := make([]InFlight, len(r.Loads))
+	for i, l := range r.Loads {
+		loads[i] = InFlight{Server: string(l.Server), Count: clampCount(l.InFlight)}
+	}
+	return &LoadReport{
+		VM: string(r.From.VM), Zone: string(r.From.Zone), Address: addressBytes(r.From.Address),
+		Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
+		Declared: uint64(r.Declared), Registry: uint64(r.Registry), Hubs: hubs, Loads: loads,
+	}
+}
+
+// Root returns the report, or an error if its address is not one.
+func (m *LoadReport) Root() (amaranthtide.LoadReport, error) {
+	addr, err := parseAddress(m.Address)
+	if err != nil {
+		return amaranthtide.LoadReport{}, err
+	}
+	hubs := make([]amaranthtide.VMName, len(m.Hubs))
+	for i, vm := range m.Hubs {
+		hubs[i] = amaranthtide.VMName(vm)
+	}
+	loads := make([]amaranthtide.ServerLoad, len(m.Loads))
+	for i, l := range m.Loads {
+		loads[i] = amaranthtide.ServerLoad{Server: amaranthtide.BackendServerName(l.Server), InFlight: int(l.Count)}
+	}
+	return amaranthtide.LoadReport{
+		From:        amaranthtide.RouterEntry{VM: amaranthtide.VMName(m.VM), Zone: amaranthtide.ZoneName(m.Zone), Address: addr},
+		Incarnation: amaranthtide.Incarnation(m.Incarnation), Sequence: m.Sequence,
+		Declared: amaranthtide.RowVersion(m.Declared), Registry: amaranthtide.RowVersion(m.Registry), Hubs: hubs, Loads: loads,
+	}, nil
+}
+
+func (m *LoadReport) check() error {
+	if err := checkNames(m.VM, m.Zone, string(m.Address)); err != nil {
+		return err
+	}
+	if err := checkLength("hubs", len(m.Hubs), MaxVMs); err != nil {
+		return err
+	}
+	if err := checkNames(m.Hubs...); err != nil {
+		return err
+	}
+	if err := checkLength("loads", len(m.Loads), MaxLoads); err != nil {
+		return err
+	}
+	for _, l := range m.Loads {
+		if err := checkNames(l.Server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -65,6 +65,15 @@
 	}
 	is.Equal(transfer(t, message.NewDigest(digest)).Root(), digest)
 
+	loads := amaranthtide.LoadReport{
+		From:        amaranthtide.RouterEntry{VM: "vm-1", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:7000")},
+		Incarnation: 3, Sequence: 1 << 40, Declared: 5, Registry: 6, Hubs: []amaranthtide.VMName{"vm-9"},
+		Loads: []amaranthtide.ServerLoad{{Server: "e1", InFlight: 7}},
+	}
+	gotLoads, err := transfer(t, message.NewLoadReport(loads)).Root()
+	is.NoErr(err)
+	is.Equal(gotLoads, loads)
+
 	changes := []amaranthtide.Change{
 		{Revision: 6, Time: now.Add(3 * time.Millisecond), Operator: "op", Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, After: amaranthtide.Zone{OutOfService: true}},
 		{Revision: 7, Time: now, Operator: "op", Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, Before: amaranthtide.Zone{OutOfService: true}},
@@ -188,6 +197,7 @@
 	for _, m := range []message.Message{
 		message.NewReport(amaranthtide.Report{VM: "v", Loads: make([]amaranthtide.ServerLoad, 2)}),
 		message.NewDigest(amaranthtide.Digest{Live: []amaranthtide.VMName{"v"}, Loads: make([]amaranthtide.ServerLoad, 2)}),
+		message.NewLoadReport(amaranthtide.LoadReport{Hubs: []amaranthtide.VMName{"v"}, Loads: make([]amaranthtide.ServerLoad, 2)}),
 		message.NewForward(now, "e", &amaranthtide.Request{Header: make([]amaranthtide.HeaderField, 1), Body: []byte("b")}, 9),
 		message.NewEnd(1, errors.New("x")), &message.Changes{Entries: make([]message.Entry, 2)},
 		message.NewHeartbeat(heartbeat.Heartbeat{VM: "v", Loads: make([]amaranthtide.ServerLoad, 2)}),
@@ -202,7 +212,7 @@
 	f.Add(message.AppendChunk(nil, 300, []byte("data")))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		for _, m := range []message.Message{
-			&message.Report{}, &message.Heartbeat{}, &message.ReportWanted{}, &message.Digest{}, &message.Changes{}, &message.ChangesWanted{}, &message.Forward{},
+			&message.Report{}, &message.Heartbeat{}, &message.ReportWanted{}, &message.Digest{}, &message.LoadReport{}, &message.Changes{}, &message.ChangesWanted{}, &message.Forward{},
 			&message.Window{}, &message.Cancel{}, &message.Head{}, &message.End{}, &message.Control{},
 			&message.Challenge{}, &message.Proof{}, &message.Welcome{},
 		} {
--- a/request.go
+++ b/request.go
@@ -137,6 +137,31 @@
 	Loads    []ServerLoad
 }
 
+// LoadReport is what a router without owners tells of the requests at each server:
+// to the hub of its zone, as the hub of a zone to those of other zones, or as the hub
+// to the routers that report to it.
+type LoadReport struct {
+	From        RouterEntry
+	Incarnation Incarnation
+	Sequence    uint64
+	// Declared is the newest row of the operators' table that the router knows,
+	// Registry that of the table of routers.
+	Declared RowVersion
+	Registry RowVersion
+	// Hubs are the hubs of other zones that the router hears.
+	Hubs []VMName
+	// Loads has the server and the requests in flight only.
+	Loads []ServerLoad
+}
+
+// Newer reports whether the report was made after another one of the same router.
+func (r LoadReport) Newer(than LoadReport) bool {
+	if r.Incarnation != than.Incarnation {
+		return r.Incarnation > than.Incarnation
+	}
+	return r.Sequence > than.Sequence
+}
+
 // EngineReport is a model engine's own report of its load. It may lag.
 type EngineReport struct {
 	Boot     BootID
--- a/state/traffic/traffic_test.go
+++ b/state/traffic/traffic_test.go
@@ -12,6 +12,16 @@
 
 var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
 
+func loads(n int) []amaranthtide.ServerLoad {
+	return []amaranthtide.ServerLoad{{Server: "e1", InFlight: n}}
+}
+
+func report(vm amaranthtide.VMName, zone amaranthtide.ZoneName, sequence uint64, n int) amaranthtide.LoadReport {
+	return amaranthtide.LoadReport{
+		From: amaranthtide.RouterEntry{VM: vm, Zone: zone}, Incarnation: 1, Sequence: sequence, Loads: loads(n),
+	}
+}
+
 // Guards against loads that count twice, stay after their end, or come from a router
 // that has fallen silent.
 func TestLoad(t *testing.T) {
@@ -19,15 +29,11 @@
 	tr := traffic.New()
 	tr.Begin("e1")
 	tr.Begin("e1")
-	report := amaranthtide.Report{VM: "vm-2", Incarnation: 1, Sequence: 2, Loads: []amaranthtide.ServerLoad{{Server: "e1", InFlight: 3}}}
-	is.True(tr.Observe(start, report))
+	is.True(tr.ObserveReport(start, report("vm-2", "a", 2, 3)))
 	is.Equal(tr.Load(start, "e1"), 5)
 
-	old := report
-	old.Sequence, old.Loads = 1, nil
-	is.True(!tr.Observe(start, old))
-	report.Sequence, report.Loads = 3, []amaranthtide.ServerLoad{{Server: "e1", InFlight: 1}}
-	is.True(tr.Observe(start.Add(time.Second), report))
+	is.True(!tr.ObserveReport(start, report("vm-2", "a", 1, 0)))
+	is.True(tr.ObserveReport(start.Add(time.Second), report("vm-2", "a", 3, 1)))
 	is.Equal(tr.Load(start.Add(time.Second), "e1"), 3)
 	is.Equal(tr.Load(start.Add(time.Second+traffic.MaxAge+time.Millisecond), "e1"), 2)
 
@@ -36,5 +42,39 @@
 	is.Equal(tr.Load(start.Add(2*time.Second), "e1"), 3)
 	tr.End("e1")
 	tr.End("e1")
-	is.Equal(len(tr.Own()), 0)
+	is.Equal(len(tr.Gathered(start.Add(time.Hour))), 0)
+}
+
+// Guards against a router that counts its own requests once more in the totals of its hub.
+func TestTotalsOfTheHubHoldOwnRequestsOnce(t *testing.T) {
+	is := is.New(t)
+	tr := traffic.New()
+	tr.Begin("e1")
+	tr.Begin("e1")
+	tr.Reported(tr.Gathered(start))
+	tr.ObserveTotals(start, loads(9)) // 2 of them are its own
+	is.Equal(tr.Load(start, "e1"), 9)
+	tr.End("e1")
+	is.Equal(tr.Load(start.Add(100*time.Millisecond), "e1"), 8)
+	is.Equal(tr.Load(start.Add(traffic.MaxAge+time.Millisecond), "e1"), 1) // the hub is silent
+
+	tr.ObserveTotals(start.Add(time.Hour), loads(1)) // the hub has not heard of them
+	is.Equal(tr.Load(start.Add(time.Hour), "e1"), 1)
+}
+
+// Guards against a zone that counts twice after its hub has changed, and against sums of
+// zones beside totals that hold them already.
+func TestZonesCountOnce(t *testing.T) {
+	is := is.New(t)
+	tr := traffic.New()
+	is.True(tr.ObserveZone(start, report("vm-b1", "b", 1, 4)))
+	is.True(tr.ObserveZone(start.Add(100*time.Millisecond), report("vm-b2", "b", 1, 5)))
+	is.True(tr.ObserveZone(start, report("vm-c1", "c", 1, 2)))
+	now := start.Add(200 * time.Millisecond)
+	is.Equal(tr.Load(now, "e1"), 7)
+	is.Equal(tr.Totals(now), loads(7))
+	is.Equal(len(tr.Gathered(now)), 0) // a hub tells the other zones only of its own
+
+	tr.ObserveTotals(now, loads(8))
+	is.Equal(tr.Load(now.Add(100*time.Millisecond), "e1"), 8)
 }
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -78,7 +78,8 @@
 	// and pass it on, since it changes so often that calls of all routers would cost
 	// too much. It is one of Tables.
 	Relayed amaranthtide.FeedTable
-	// Relay is called with each page of the relayed table that this router has read.
+	// Relay is called with each page of the relayed table that this router has read, also
+	// with one without rows.
 	Relay func(after amaranthtide.RowVersion, page amaranthtide.FeedPage)
 	// Rank returns the place of this router among the readers of the relayed table in
 	// its zone, from 0, or NotReader.
@@ -198,8 +199,11 @@
 		}
 		f.returned(now, table)
 		f.Apply(now, table, page)
-		if table == f.opts.Relayed && len(page.Rows) > 0 {
-			f.opts.Relay(after.Or(0), page)
+		if table != f.opts.Relayed {
+			continue
+		}
+		f.opts.Relay(after.Or(0), page)
+		if len(page.Rows) > 0 {
 			f.sleep(batchInterval)
 		}
 	}
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -105,7 +105,9 @@
 	servers *servers.Directory
 	rows    *feed.Tables
 	rank    atomic.Int32
+	// relayed and empty count the pages passed on with and without rows.
 	relayed atomic.Int32
+	empty   atomic.Int32
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -116,8 +118,14 @@
 	f.Follower = follow.New(follow.Options{
 		Feed: f.source, Reader: reader{}, Tables: []amaranthtide.FeedTable{operator, listing}, Rows: f.rows,
 		Configuration: declared.New(), Servers: f.servers, Relayed: listing,
-		Relay: func(amaranthtide.RowVersion, amaranthtide.FeedPage) { f.relayed.Add(1) },
-		Rank:  func(time.Time) int { return int(f.rank.Load()) },
+		Relay: func(_ amaranthtide.RowVersion, page amaranthtide.FeedPage) {
+			if len(page.Rows) > 0 {
+				f.relayed.Add(1)
+			} else {
+				f.empty.Add(1)
+			}
+		},
+		Rank: func(time.Time) int { return int(f.rank.Load()) },
 	})
 	f.Start()
 	t.Cleanup(f.Close)
@@ -225,6 +233,14 @@
 	eventually(t, "both servers", func() bool { return f.servers.Len() == 2 })
 }
 
+// Guards against routers that restart together while no server changes: none would learn
+// that another one reads, and all would read for good.
+func TestReaderTellsThatItReads(t *testing.T) {
+	f := newFixture(t)
+	before := f.empty.Load()
+	eventually(t, "a page without rows passed on", func() bool { return f.empty.Load() > before })
+}
+
 // Guards against taking all servers for dead after an outage in which their entries
 // lapsed, and against keeping those that did not come back.
 func TestLapsedEntries(t *testing.T) {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -192,7 +192,7 @@
 		"amaranthtide.configuration.revision": {"Revision of the configuration in force.", func() int64 { return int64(g.configuration.Revision()) }},
 		"amaranthtide.servers":                {"Backend servers that may get work.", func() int64 { return int64(g.servers.Len()) }},
 		"amaranthtide.feeds.away":             {"Tables of the platform's feed that can't be read.", func() int64 { return int64(len(g.follower.Away(time.Now()))) }},
-		"amaranthtide.routers.live":           {"Other routers that have reported lately.", func() int64 { return int64(g.peers.Live(time.Now())) }},
+		"amaranthtide.routers.trusted":        {"Other routers of the zone that leave no question unanswered.", func() int64 { return int64(g.peers.Trusted(time.Now())) }},
 	}
 	for name, v := range gauges {
 		if err := g.meter.Gauge(name, v.description, v.read); err != nil {
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -2,9 +2,14 @@
 // has at which server, and pass on rows of the platform's feed to routers that
 // can't read it.
 //
-// A report goes to all known routers when a load has changed, but not before
-// reportInterval has passed, and at least every heartbeatInterval. Routers are
-// known from the platform's registry, from the settings and from their own reports.
+// Loads are gathered along a tree, so that the messages of a router don't grow with
+// the fleet. The routers of a zone report to its hub, the first of them in an order
+// that all compute alike. Hubs tell each other the sums of their zones, and tell the
+// totals to the routers that report to them. A router whose hub leaves its reports
+// unanswered reports to the next one; it asks the silent one again now and then.
+//
+// Routers are known from the platform's registry, from the settings and from their
+// own messages.
 //
 // # Usage
 //
@@ -19,7 +24,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +31,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"amaranthtide"
+	"amaranthtide/coordination/suspicion"
 	"amaranthtide/protocol/message"
 	"amaranthtide/state/feed"
 	"amaranthtide/state/traffic"
@@ -34,22 +39,14 @@
 )
 
 const (
-	// reportInterval bounds the messages of a router. Loads change within the length
-	// of a request, which is about a second.
-	reportInterval    = 250 * time.Millisecond
-	heartbeatInterval = time.Second
+	// tickInterval is how often a router looks what it has to send.
+	tickInterval = 250 * time.Millisecond
 	// requestInterval is how often a router without the feed asks another router.
 	requestInterval = 500 * time.Millisecond
-	// readersPerZone is how many routers of a zone read the relayed table: one may be
-	// down or cut off from the platform without a delay for the others.
-	readersPerZone = 2
 	// answerTimeout is how long the answer of a router is awaited before another one is
 	// asked for the same table.
 	answerTimeout = 1500 * time.Millisecond
-	// registryInterval is how often the registry is read after it was read once.
-	registryInterval = time.Minute
-	registryRetry    = time.Second
-	// liveAge is the age of a report up to which its router counts as live.
+	// liveAge is the age of a router's last message up to which it counts as live.
 	liveAge = 3 * time.Second
 	// forgetAge is the age from which a router that isn't registered is forgotten.
 	forgetAge = time.Minute
@@ -102,12 +99,26 @@
 	opts Options
 
 	mu sync.Mutex
-	// routers are the registered routers and those that have reported, but this one.
-	routers     map[amaranthtide.VMName]router
-	sequence    uint64
-	last        []amaranthtide.ServerLoad
-	lastNewest  amaranthtide.RowVersion
-	sentAt      time.Time
+	// routers are the registered routers and those that sent a message, but this one.
+	routers  map[amaranthtide.VMName]router
+	detector *suspicion.Detector
+	sequence uint64
+	// report is the last report to the hub, sent at reportedAt.
+	report     amaranthtide.LoadReport
+	reportedAt time.Time
+	// totalsAt is when totals were sent last, zonesAt when the hubs of other zones were
+	// told the sum of this one.
+	totalsAt time.Time
+	zonesAt  time.Time
+	// hub is the last hub of this zone as this router sees it, hubs those of other zones
+	// as the hub has told.
+	hub  amaranthtide.VMName
+	hubs []amaranthtide.VMName
+	// registry is the newest row of the table of routers that was read, newer the newest
+	// one that other routers know.
+	registry amaranthtide.RowVersion
+	newer    amaranthtide.RowVersion
+
 	requestedAt time.Time
 	// waiting holds when rows of a table were requested that have not come.
 	waiting map[amaranthtide.FeedTable]time.Time
@@ -115,25 +126,23 @@
 	next int
 	// settled is set once the registry was read.
 	settled bool
+	// outdated holds a token while the registry has news.
+	outdated chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
-type router struct {
-	addr       netip.AddrPort
-	zone       amaranthtide.ZoneName
-	registered bool
-	heard      time.Time
-}
-
 // New returns an Exchange that does nothing until Start.
 func New(opts Options) *Exchange {
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
-	e := &Exchange{opts: opts, routers: make(map[amaranthtide.VMName]router), waiting: make(map[amaranthtide.FeedTable]time.Time)}
+	e := &Exchange{
+		opts: opts, routers: make(map[amaranthtide.VMName]router), detector: suspicion.New(),
+		waiting: make(map[amaranthtide.FeedTable]time.Time), outdated: make(chan struct{}, 1),
+	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
 }
@@ -142,7 +151,8 @@
 func (e *Exchange) Start() error {
 	sub := e.opts.Mesh.Subscriber()
 	handlers := map[string]func(*watermill.Message){
-		message.TopicReport: e.report, message.TopicRowsWanted: e.rowsWanted, message.TopicRows: e.rows,
+		message.TopicLoads: e.loads, message.TopicZoneLoads: e.zoneLoads, message.TopicTotals: e.totals,
+		message.TopicRowsWanted: e.rowsWanted, message.TopicRows: e.rows,
 	}
 	for topic, handle := range handlers {
 		messages, err := sub.Subscribe(e.ctx, topic)
@@ -169,9 +179,9 @@
 	}
 }
 
-// run sends reports and asks for rows.
+// run sends loads and asks for rows.
 func (e *Exchange) run() {
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -179,65 +189,14 @@
 			return
 		case now := <-ticker.C:
 			e.sendReport(now)
+			e.sendTotals(now)
+			e.sendZoneLoads(now)
 			e.requestRows(now)
 			e.opts.Traffic.Forget(now.Add(-forgetAge))
 		}
 	}
 }
 
-// sendReport sends a report if the loads or the operators' rows have changed or the
-// last one is old.
-func (e *Exchange) sendReport(now time.Time) {
-	loads, newest := e.opts.Traffic.Own(), e.opts.Rows.Newest(e.opts.Declared)
-	e.mu.Lock()
-	if now.Sub(e.sentAt) < heartbeatInterval && slices.Equal(loads, e.last) && newest == e.lastNewest {
-		e.mu.Unlock()
-		return
-	}
-	e.sequence++
-	report := amaranthtide.Report{
-		VM: e.opts.Self.VM, Zone: e.opts.Self.Zone, Address: e.opts.Self.Address, Incarnation: e.opts.Incarnation,
-		Sequence: e.sequence, Interval: heartbeatInterval, Loads: loads, Revision: amaranthtide.Revision(newest),
-	}
-	e.last, e.lastNewest, e.sentAt = loads, newest, now
-	to := e.addresses()
-	e.mu.Unlock()
-	e.publish(message.TopicReport, message.NewReport(report), to)
-}
-
-// addresses returns where to send reports: all routers, or the seeds as long as
-// none is known.
-func (e *Exchange) addresses() []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(e.routers))
-	for _, r := range e.routers {
-		out = append(out, r.addr)
-	}
-	if len(out) == 0 {
-		for _, addr := range e.opts.Seeds {
-			if addr != e.opts.Self.Address {
-				out = append(out, addr)
-			}
-		}
-	}
-	return out
-}
-
-// live returns the routers that reported lately, in the order of their names.
-func (e *Exchange) live(now time.Time) []netip.AddrPort {
-	var names []amaranthtide.VMName
-	for name, r := range e.routers {
-		if now.Sub(r.heard) <= liveAge {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	out := make([]netip.AddrPort, len(names))
-	for i, name := range names {
-		out[i] = e.routers[name].addr
-	}
-	return out
-}
-
 func (e *Exchange) publish(topic string, m message.Message, to []netip.AddrPort) {
 	if len(to) == 0 {
 		return
@@ -260,34 +219,11 @@
 	return true
 }
 
-// report takes the report of another router.
-func (e *Exchange) report(msg *watermill.Message) {
-	var m message.Report
-	if !e.decode(msg, &m) {
-		return
-	}
-	r, err := m.Root()
+// sender returns the address of the router that has sent a message.
+func (e *Exchange) sender(msg *watermill.Message) (netip.AddrPort, bool) {
+	addr, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender))
 	if err != nil {
-		e.opts.Logger.Warn("report dropped", "sender", msg.Metadata.Get(mesh.MetadataSender), "error", err)
-		return
-	}
-	now := time.Now()
-	if r.VM == e.opts.Self.VM || !e.opts.Traffic.Observe(now, r) {
-		return
-	}
-	e.mu.Lock()
-	old, known := e.routers[r.VM]
-	e.routers[r.VM] = router{addr: r.Address, zone: r.Zone, registered: old.registered, heard: now}
-	names, settled := e.names(), e.settled
-	e.mu.Unlock()
-	if !known {
-		e.opts.Logger.Info("router seen", "vm", r.VM, "zone", r.Zone)
-	}
-	if e.opts.Follower.Behind(now, e.opts.Declared, amaranthtide.RowVersion(r.Revision)) {
-		e.requestTable(e.opts.Declared, []netip.AddrPort{r.Address}, 0)
-	}
-	// Before the registry was read, a few routers may look like all of them.
-	if !known && settled {
-		e.opts.Routers(names)
+		e.opts.Logger.Warn("message of a router without an address", "error", err)
 	}
+	return addr, err == nil
 }
--- a/transport/peers/exchange_test.go
+++ b/transport/peers/exchange_test.go
@@ -86,12 +86,15 @@
 }
 
 // follower is a peers.Follower whose feed works.
-type follower struct{ reading atomic.Bool }
+type follower struct {
+	reading   atomic.Bool
+	peerReads atomic.Int32
+}
 
 func (*follower) Away(time.Time) []amaranthtide.FeedTable { return nil }
 func (*follower) Apply(time.Time, amaranthtide.FeedTable, amaranthtide.FeedPage) {
 }
-func (*follower) PeerReads(time.Time, amaranthtide.FeedTable) {}
+func (f *follower) PeerReads(time.Time, amaranthtide.FeedTable) { f.peerReads.Add(1) }
 func (*follower) Behind(time.Time, amaranthtide.FeedTable, amaranthtide.RowVersion) bool {
 	return false
 }
@@ -128,8 +131,8 @@
 	for _, name := range []amaranthtide.VMName{"vm-a", "vm-z"} { // the first and the second reader, in some order
 		n, f := newNetwork(), &follower{}
 		e := start(t, name, n, f)
-		n.deliver(t, message.TopicReport, message.NewReport(amaranthtide.Report{
-			VM: "vm-m", Zone: "a", Address: addr, Incarnation: 1, Sequence: 1, Interval: time.Second,
+		n.deliver(t, message.TopicLoads, message.NewLoadReport(amaranthtide.LoadReport{
+			From: amaranthtide.RouterEntry{VM: "vm-m", Zone: "a", Address: addr}, Incarnation: 1, Sequence: 1,
 		}))
 		time.Sleep(1500 * time.Millisecond)
 		if n.count(message.TopicRowsWanted) == 0 {
--- a/transport/peers/registry.go
+++ b/transport/peers/registry.go
@@ -1,47 +1,87 @@
 package peers
 
 import (
-	"slices"
 	"time"
 
 	"amaranthtide"
 )
 
-// register writes the own entry and reads those of the others.
+const (
+	// registryInterval is how often the registry is read without a sign of news.
+	registryInterval = time.Minute
+	registryRetry    = time.Second
+	// registryPause lets the entries of routers that start together gather before the
+	// registry is read again.
+	registryPause = time.Second
+)
+
+// register keeps the own entry in the registry and reads those of the others.
 func (e *Exchange) register() {
-	registered := false
 	for e.ctx.Err() == nil {
-		wait := registryInterval
-		if err := e.refresh(&registered); err != nil {
+		registered, err := e.refresh()
+		switch {
+		case err != nil:
 			e.opts.Logger.Debug("registry of routers not reached", "error", err)
-			wait = registryRetry
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-e.ctx.Done():
+			e.sleep(registryRetry)
+		case !registered:
+			e.sleep(registryPause)
+		default:
+			e.await(registryInterval)
+			e.sleep(registryPause)
 		}
-		timer.Stop()
 	}
 }
 
-func (e *Exchange) refresh(registered *bool) error {
-	if !*registered {
-		if err := e.opts.Registrar.Register(e.ctx, e.opts.Self); err != nil {
-			return err
-		}
-		*registered = true
-	}
+// refresh reads the registry. If the own entry is not there, it writes it and returns
+// false: what was read is then outdated.
+func (e *Exchange) refresh() (registered bool, err error) {
 	page, err := e.opts.Registry.Next(e.ctx, e.opts.RegistryTable, amaranthtide.None[amaranthtide.RowVersion](), 0)
 	if err != nil {
-		return err
+		return false, err
+	}
+	if e.listed(time.Now(), page) {
+		return true, nil
 	}
-	e.listed(time.Now(), page)
-	return nil
+	return false, e.opts.Registrar.Register(e.ctx, e.opts.Self)
 }
 
-// listed takes the registry.
-func (e *Exchange) listed(now time.Time, page amaranthtide.FeedPage) {
+func (e *Exchange) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.ctx.Done():
+	}
+}
+
+// await waits until the registry has news, at most for the given time.
+func (e *Exchange) await(most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-e.outdated:
+	case <-timer.C:
+	case <-e.ctx.Done():
+	}
+}
+
+// learn takes the newest row of the registry that another router knows.
+func (e *Exchange) learn(version amaranthtide.RowVersion) {
+	e.mu.Lock()
+	news := version > max(e.registry, e.newer)
+	e.newer = max(e.newer, version)
+	e.mu.Unlock()
+	if !news {
+		return
+	}
+	select {
+	case e.outdated <- struct{}{}:
+	default:
+	}
+}
+
+// listed takes the registry and reports whether it has the own entry.
+func (e *Exchange) listed(now time.Time, page amaranthtide.FeedPage) (registered bool) {
 	e.mu.Lock()
 	for _, row := range page.Rows {
 		fact, err := e.opts.Reader.Read(now, row)
@@ -50,34 +90,27 @@
 			e.opts.Logger.Warn("entry of the registry can't be read", "key", row.Key, "error", err)
 			continue
 		}
+		e.registry = max(e.registry, row.Version)
 		if entry.VM == e.opts.Self.VM {
+			registered = entry == e.opts.Self
 			continue
 		}
 		r := e.routers[entry.VM]
-		r.zone, r.registered = entry.Zone, true
+		r.registered = true
 		if now.Sub(r.heard) > liveAge {
-			r.addr = entry.Address
+			r.addr, r.zone = entry.Address, entry.Zone
 		}
 		e.routers[entry.VM] = r
 	}
 	for name, r := range e.routers {
 		if !r.registered && now.Sub(r.heard) > forgetAge {
 			delete(e.routers, name)
+			e.detector.Heard(name)
 		}
 	}
 	e.settled = true
 	names := e.names()
 	e.mu.Unlock()
 	e.opts.Routers(names)
-}
-
-// names returns all known routers, this one among them.
-func (e *Exchange) names() []amaranthtide.VMName {
-	names := make([]amaranthtide.VMName, 0, len(e.routers)+1)
-	names = append(names, e.opts.Self.VM)
-	for name := range e.routers {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return registered
 }
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -8,7 +9,6 @@
 	watermill "github.com/ThreeDotsLabs/watermill/message"
 
 	"amaranthtide"
-	"amaranthtide/coordination/placement"
 	"amaranthtide/protocol/message"
 	"amaranthtide/transport/mesh"
 )
@@ -18,31 +18,57 @@
 func (e *Exchange) requestRows(now time.Time) {
 	away := e.opts.Follower.Away(now)
 	e.mu.Lock()
-	if now.Sub(e.requestedAt) < requestInterval {
+	if !due(now, e.requestedAt, requestInterval) {
 		e.mu.Unlock()
 		return
 	}
 	e.requestedAt = now
 	e.next++
 	next := e.next
-	to := e.live(now)
-	if len(to) == 0 {
-		to = e.addresses()
-	}
-	readers := e.readers(now)
+	readers := slices.DeleteFunc(e.readers(now), func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
+	sources := e.sources(now, readers)
 	e.mu.Unlock()
 	for _, table := range away {
-		if e.outstanding(now, table) {
+		if len(sources) == 0 || e.outstanding(now, table) {
 			continue
 		}
-		e.requestTable(table, to, next)
+		e.requestTable(table, sources[next%len(sources)])
 	}
 	// The second reader, too, may have missed what the first one has passed on.
-	if !e.opts.Follower.Reading(now, e.opts.Relayed) && !slices.Contains(away, e.opts.Relayed) {
-		e.requestTable(e.opts.Relayed, e.addressesOf(readers), next)
+	if len(readers) > 0 && !e.opts.Follower.Reading(now, e.opts.Relayed) && !slices.Contains(away, e.opts.Relayed) {
+		e.askReader(now, readers[next%len(readers)])
+	}
+}
+
+// askReader asks a reader of the zone for the rows of the relayed table.
+func (e *Exchange) askReader(now time.Time, reader amaranthtide.VMName) {
+	e.mu.Lock()
+	e.detector.Asked(now, reader)
+	to := e.addresses(reader)
+	e.mu.Unlock()
+	for _, addr := range to {
+		e.requestTable(e.opts.Relayed, addr)
 	}
 }
 
+// sources returns the routers to ask for rows while the feed is away: the readers and the
+// hub of the zone, hubs of other zones, and one more router of the zone, since the others
+// may have lost the feed, too. The caller holds mu.
+func (e *Exchange) sources(now time.Time, readers []amaranthtide.VMName) []netip.AddrPort {
+	names := append(slices.Clone(readers), e.hubOf(now))
+	names = append(names, e.hubs...)
+	names = append(names, e.heardHubs(now)...)
+	mates := e.trusted(now)
+	names = append(names, mates[rand.N(len(mates))])
+	if sources := e.addresses(names...); len(sources) > 0 {
+		return sources
+	}
+	if all := e.addresses(e.names()...); len(all) > 0 {
+		return all
+	}
+	return e.seeds()
+}
+
 // outstanding reports whether rows of a table were requested and may still come, and
 // else notes the request that follows. A document that takes its time on a slow link
 // would be requested again and again otherwise.
@@ -62,77 +88,28 @@
 	delete(e.waiting, table)
 }
 
-// requestTable asks one of the routers for the rows of a table.
-func (e *Exchange) requestTable(table amaranthtide.FeedTable, to []netip.AddrPort, next int) {
-	if len(to) == 0 {
-		return
-	}
+// requestTable asks a router for the rows of a table.
+func (e *Exchange) requestTable(table amaranthtide.FeedTable, to netip.AddrPort) {
 	wanted := &message.RowsWanted{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))}
-	e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{to[next%len(to)]})
-}
-
-// readers returns the routers of the own zone that read the relayed table.
-func (e *Exchange) readers(now time.Time) []amaranthtide.VMName {
-	names := []amaranthtide.VMName{e.opts.Self.VM}
-	for name, r := range e.routers {
-		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge {
-			names = append(names, name)
-		}
-	}
-	return placement.First(string(e.opts.Relayed), names, readersPerZone)
-}
-
-// Rank returns the place of this router among the readers of its zone; -1 if it is none.
-func (e *Exchange) Rank(now time.Time) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Index(e.readers(now), e.opts.Self.VM)
-}
-
-// Live returns the number of other routers that reported lately.
-func (e *Exchange) Live(now time.Time) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.live(now))
-}
-
-func (e *Exchange) addressesOf(names []amaranthtide.VMName) []netip.AddrPort {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []netip.AddrPort
-	for _, name := range names {
-		if r, ok := e.routers[name]; ok {
-			out = append(out, r.addr)
-		}
-	}
-	return out
+	e.publish(message.TopicRowsWanted, wanted, []netip.AddrPort{to})
 }
 
 // Relay passes a page of the relayed table, read after the given version, on to the
-// routers of the zone. The second reader stands by as long as it gets them.
+// routers of the zone. A page without rows tells them that the table can be read; only
+// readers of the zone pass it on.
 func (e *Exchange) Relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
 	now := time.Now()
 	e.mu.Lock()
 	var to []netip.AddrPort
-	for _, r := range e.routers {
-		if r.zone == e.opts.Self.Zone && now.Sub(r.heard) <= liveAge {
-			to = append(to, r.addr)
-		}
+	if len(page.Rows) > 0 || slices.Contains(e.readers(now), e.opts.Self.VM) {
+		to = e.addresses(e.trusted(now)...)
 	}
 	e.mu.Unlock()
 	e.publish(message.TopicRows, message.NewRows(e.opts.Relayed, after, page, true), to)
 }
 
-// sender returns the address of the router that has sent a message.
-func (e *Exchange) sender(msg *watermill.Message) (netip.AddrPort, bool) {
-	addr, err := netip.ParseAddrPort(msg.Metadata.Get(mesh.MetadataSender))
-	if err != nil {
-		e.opts.Logger.Warn("message of a router without an address", "error", err)
-	}
-	return addr, err == nil
-}
-
-// rowsWanted answers another router that can't read the feed.
+// rowsWanted answers another router. One that has nothing to tell answers, too, so that it
+// isn't taken for dead and another one is asked.
 func (e *Exchange) rowsWanted(msg *watermill.Message) {
 	var m message.RowsWanted
 	if !e.decode(msg, &m) {
@@ -142,12 +119,11 @@
 	if !ok {
 		return
 	}
+	now := time.Now()
+	e.observeAddress(now, sender)
 	table, after := amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After)
-	page, news := e.opts.Rows.Since(table, after)
-	live := e.opts.Follower.Reading(time.Now(), table)
-	if !news && !live {
-		return
-	}
+	page, _ := e.opts.Rows.Since(table, after) // without news it has no rows
+	live := e.opts.Follower.Reading(now, table)
 	e.publish(message.TopicRows, message.NewRows(table, after, page, live), []netip.AddrPort{sender})
 }
 
@@ -159,6 +135,10 @@
 		return
 	}
 	now := time.Now()
+	sender, ok := e.sender(msg)
+	if ok {
+		e.observeAddress(now, sender)
+	}
 	table, page, err := m.Root()
 	if err != nil {
 		e.opts.Logger.Warn("rows dropped", "sender", msg.Metadata.Get(mesh.MetadataSender), "error", err)
@@ -174,8 +154,8 @@
 	if have := e.opts.Rows.Version(table).Or(0); !page.Whole && amaranthtide.RowVersion(m.After) > have {
 		// Changes before these were missed.
 		page.Version = have
-		if sender, ok := e.sender(msg); ok {
-			e.requestTable(table, []netip.AddrPort{sender}, 0)
+		if ok {
+			e.requestTable(table, sender)
 		}
 	}
 	e.opts.Logger.Debug("rows taken from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
--- /dev/null
+++ b/transport/peers/tree_test.go
@@ -0,0 +1,375 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	watermill "github.com/ThreeDotsLabs/watermill/message"
+
+	"amaranthtide"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/state/feed"
+	"amaranthtide/state/traffic"
+	"amaranthtide/transport/mesh"
+	"amaranthtide/transport/peers"
+)
+
+// fleet connects exchanges in one process. Routers can be cut off, and the registry can be
+// away.
+type fleet struct {
+	mu       sync.Mutex
+	nodes    map[netip.AddrPort]*node
+	cut      amaranthtide.Set[amaranthtide.VMName]
+	registry map[amaranthtide.VMName]amaranthtide.FeedRow
+	entries  map[string]amaranthtide.RouterEntry
+	version  amaranthtide.RowVersion
+	away     bool
+	reads    int
+	writes   int
+	messages int
+}
+
+// node is the peers.Mesh of one router and its view of the registry.
+type node struct {
+	fleet  *fleet
+	entry  amaranthtide.RouterEntry
+	topics map[string]chan *watermill.Message
+	load   *traffic.Traffic
+	follow *follower
+	*peers.Exchange
+
+	mu    sync.Mutex
+	names []amaranthtide.VMName
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		nodes: make(map[netip.AddrPort]*node), cut: amaranthtide.NewSet[amaranthtide.VMName](),
+		registry: make(map[amaranthtide.VMName]amaranthtide.FeedRow), entries: make(map[string]amaranthtide.RouterEntry),
+	}
+}
+
+func (n *node) Publisher() watermill.Publisher   { return n }
+func (n *node) Subscriber() watermill.Subscriber { return n }
+func (n *node) Close() error                     { return nil }
+
+func (n *node) Publish(topic string, messages ...*watermill.Message) error {
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, msg := range messages {
+		for part := range strings.SplitSeq(msg.Metadata.Get(mesh.MetadataPeers), ",") {
+			f.messages++
+			to := f.nodes[netip.MustParseAddrPort(part)]
+			if to == nil || f.cut.Has(n.entry.VM) || f.cut.Has(to.entry.VM) || to.topics[topic] == nil {
+				continue
+			}
+			sent := watermill.NewMessage("1", msg.Payload)
+			sent.Metadata.Set(mesh.MetadataSender, n.entry.Address.String())
+			to.topics[topic] <- sent
+		}
+	}
+	return nil
+}
+
+func (n *node) Subscribe(ctx context.Context, topic string) (<-chan *watermill.Message, error) {
+	in, out := make(chan *watermill.Message, 4096), make(chan *watermill.Message)
+	n.fleet.mu.Lock()
+	n.topics[topic] = in
+	n.fleet.mu.Unlock()
+	go func() {
+		defer close(out)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case m := <-in:
+				out <- m
+			}
+		}
+	}()
+	return out, nil
+}
+
+func (n *node) Next(context.Context, amaranthtide.FeedTable, amaranthtide.Option[amaranthtide.RowVersion], time.Duration) (amaranthtide.FeedPage, error) {
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "away")
+	}
+	f.reads++
+	page := amaranthtide.FeedPage{Whole: true, Version: f.version}
+	for _, row := range f.registry {
+		page.Rows = append(page.Rows, row)
+	}
+	return page, nil
+}
+
+func (n *node) Register(_ context.Context, e amaranthtide.RouterEntry) error {
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writes++
+	f.version++
+	f.entries[string(e.VM)] = e
+	f.registry[e.VM] = amaranthtide.FeedRow{Key: string(e.VM), Version: f.version, Value: []byte("{}")}
+	return nil
+}
+
+func (n *node) Read(_ time.Time, row amaranthtide.FeedRow) (amaranthtide.Fact, error) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return amaranthtide.Fact{Router: amaranthtide.Some(n.fleet.entries[row.Key])}, nil
+}
+
+func (n *node) setNames(names []amaranthtide.VMName) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names = names
+}
+
+func (n *node) knows() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.names)
+}
+
+// start adds the i-th router of a zone to the fleet.
+func (f *fleet) start(t *testing.T, zone string, i int, seeds ...netip.AddrPort) *node {
+	t.Helper()
+	n := &node{
+		fleet: f, topics: make(map[string]chan *watermill.Message), load: traffic.New(), follow: &follower{},
+		entry: amaranthtide.RouterEntry{
+			VM: amaranthtide.VMName(fmt.Sprintf("vm-%s%d", zone, i)), Zone: amaranthtide.ZoneName(zone),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, zone[0], 0, byte(i)}), 7000),
+		},
+	}
+	n.Exchange = peers.New(peers.Options{
+		Self: n.entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: seeds, Mesh: n, Traffic: n.load,
+		Follower: n.follow, Rows: feed.New(), Relayed: listing, Declared: "operator", Registry: n, RegistryTable: "routers",
+		Registrar: n, Reader: n, Routers: n.setNames,
+	})
+	f.mu.Lock()
+	f.nodes[n.entry.Address] = n
+	f.mu.Unlock()
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// setCut cuts a router off or takes it back.
+func (f *fleet) setCut(vm amaranthtide.VMName, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cut {
+		f.cut.Add(vm)
+	} else {
+		f.cut.Remove(vm)
+	}
+}
+
+// count returns a counter of the fleet.
+func (f *fleet) count(n *int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return *n
+}
+
+// hub returns the node that is first in the order of a zone.
+func hub(nodes []*node) *node {
+	names := make([]amaranthtide.VMName, len(nodes))
+	for i, n := range nodes {
+		names[i] = n.entry.VM
+	}
+	first := placement.First("hub", names, 1)[0]
+	for _, n := range nodes {
+		if n.entry.VM == first {
+			return n
+		}
+	}
+	return nil
+}
+
+func startZones(t *testing.T, f *fleet, zones string, perZone int) map[string][]*node {
+	t.Helper()
+	all := make(map[string][]*node)
+	for _, zone := range zones {
+		for i := range perZone {
+			n := f.start(t, string(zone), i+1)
+			n.load.Begin("e1")
+			all[string(zone)] = append(all[string(zone)], n)
+		}
+	}
+	return all
+}
+
+func closeAll(zones map[string][]*node) {
+	for _, nodes := range zones {
+		for _, n := range nodes {
+			n.Exchange.Close()
+		}
+	}
+}
+
+func wantLoads(t *testing.T, when string, nodes []*node, least, most int) {
+	t.Helper()
+	for _, n := range nodes {
+		if got := n.load.Load(time.Now(), "e1"); got < least || got > most {
+			t.Errorf("%s: %s: got: load %d, want: %d to %d", when, n.entry.VM, got, least, most)
+		}
+	}
+}
+
+// Guards against routers that miss part of the fleet's requests or count some twice, and
+// against messages that grow with the square of the fleet.
+func TestAllRoutersLearnTheLoadsOfTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "abc", 12)
+		defer closeAll(zones)
+		time.Sleep(6 * time.Second)
+		for _, nodes := range zones {
+			wantLoads(t, "calm", nodes, 36, 36)
+		}
+		before := f.count(&f.messages)
+		time.Sleep(10 * time.Second)
+		// A report each second, totals and two questions for rows with their answers four
+		// times and twice a second, and the exchange of three hubs.
+		if perRouter := float64(f.count(&f.messages)-before) / 36 / 10; perRouter > 10 {
+			t.Errorf("got: %.1f messages a second for each router, want: at most 10", perRouter)
+		}
+		for _, n := range zones["a"] {
+			if n.knows() != 36 {
+				t.Errorf("%s: got: %d routers known, want: 36", n.entry.VM, n.knows())
+			}
+		}
+	})
+}
+
+// Guards against a zone that loses the loads of the fleet with its hub, that does not
+// return to the hub, or that counts requests twice on the way.
+func TestNextRouterTakesThePlaceOfASilentHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "ab", 5)
+		defer closeAll(zones)
+		time.Sleep(6 * time.Second)
+		first := hub(zones["a"])
+		var others []*node
+		for _, n := range zones["a"] {
+			if n != first {
+				others = append(others, n)
+			}
+		}
+		f.setCut(first.entry.VM, true)
+		time.Sleep(5 * time.Second)
+		wantLoads(t, "hub cut off", others, 9, 9)
+		wantLoads(t, "other zone", zones["b"], 9, 9)
+		wantLoads(t, "hub alone", []*node{first}, 1, 1)
+		for _, n := range others {
+			if n.Trusted(time.Now()) != 3 {
+				t.Errorf("%s: got: %d trusted routers, want: 3", n.entry.VM, n.Trusted(time.Now()))
+			}
+		}
+		f.setCut(first.entry.VM, false)
+		time.Sleep(8 * time.Second)
+		wantLoads(t, "hub back", zones["a"], 10, 10)
+		wantLoads(t, "other zone after the return", zones["b"], 10, 10)
+	})
+}
+
+// Guards against an added router that the others learn of too late, so that the shares of
+// all together exceed the whole, and against a write to the registry at each restart.
+func TestRoutersLearnOfOneThatWasAdded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "ab", 4)
+		defer func() { closeAll(zones) }()
+		time.Sleep(6 * time.Second)
+		zones["b"] = append(zones["b"], f.start(t, "b", 5))
+		time.Sleep(6 * time.Second)
+		for _, nodes := range zones {
+			for _, n := range nodes {
+				if n.knows() != 9 {
+					t.Errorf("%s: got: %d routers known, want: 9", n.entry.VM, n.knows())
+				}
+			}
+		}
+		writes := f.count(&f.writes)
+		zones["b"][4].Exchange.Close()
+		zones["b"][4] = f.start(t, "b", 5)
+		reads := f.count(&f.reads)
+		time.Sleep(5 * time.Second)
+		if got := f.count(&f.writes) - writes; got != 0 {
+			t.Errorf("got: %d writes for a restart, want: 0", got)
+		}
+		if got := f.count(&f.reads) - reads; got > 1 {
+			t.Errorf("got: %d reads for a restart, want: 1", got)
+		}
+	})
+}
+
+// Guards against a router that restarts without registry and seeds and never meets its
+// fleet.
+func TestRouterWithoutRegistryLearnsOfItsHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "ab", 4)
+		defer func() { closeAll(zones) }()
+		time.Sleep(6 * time.Second)
+		f.mu.Lock()
+		f.away = true
+		f.mu.Unlock()
+		for i, n := range zones["a"] {
+			n.Exchange.Close()
+			zones["a"][i] = f.start(t, "a", i+1, netip.MustParseAddrPort("127.9.9.9:1"))
+			zones["a"][i].load.Begin("e1")
+			time.Sleep(6 * time.Second)
+		}
+		for _, nodes := range zones {
+			wantLoads(t, "after restarts", nodes, 8, 8)
+		}
+	})
+}
+
+// Guards against routers that never hear of a reader because they have not spoken to it
+// yet, and against questions and answers of all routers that read at first.
+func TestReadersTellTheWholeZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "ab", 6)
+		defer closeAll(zones)
+		for _, nodes := range zones {
+			for _, n := range nodes {
+				n.follow.reading.Store(true) // as all do before they know the list
+			}
+		}
+		time.Sleep(6 * time.Second)
+		for _, n := range zones["a"] {
+			n.Relay(3, amaranthtide.FeedPage{Version: 3})
+		}
+		time.Sleep(time.Second)
+		for _, n := range zones["a"] {
+			want := int32(2) // the readers of the zone
+			if n.Rank(time.Now()) >= 0 {
+				want = 1
+			}
+			if got := n.follow.peerReads.Load(); got != want {
+				t.Errorf("%s: got: told %d times of a reader, want: %d", n.entry.VM, got, want)
+			}
+		}
+		for _, n := range zones["b"] {
+			if got := n.follow.peerReads.Load(); got != 0 {
+				t.Errorf("%s: got: told %d times of a reader of another zone, want: 0", n.entry.VM, got)
+			}
+		}
+	})
+}
