transport/direct: take a small share of the retries until the registry is known

Cause: found by reading. A router that has not read the registry counted itself as the only one, so that after a restart of all routers with the store away each could spend the retries of the fleet (BUDGET).

Change: it takes its share as one of 256 routers until the registry was read.

The test fails before the change (16 retries at hand instead of one).

--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -36,6 +36,10 @@
 	"amaranthtide/state/traffic"
 )
 
+// assumedRouters is the size of the fleet before the registry was read: after a restart
+// of all routers without it, each would else spend the retries of the whole fleet.
+const assumedRouters = 256
+
 // Options are the parts that a Dispatcher works with. All but Logger are required.
 type Options struct {
 	VM            amaranthtide.VMName
@@ -62,7 +66,7 @@
 	zones   *shard.Map[amaranthtide.ZoneName, *outlier.Record]
 	budgets *shard.Map[amaranthtide.ServiceName, *shared.Budget]
 	limit   atomic.Pointer[choice.Cap]
-	// routers is the number of registered routers.
+	// routers is the number of registered routers, or assumedRouters.
 	routers atomic.Int64
 
 	mu   sync.Mutex
@@ -87,6 +91,7 @@
 		cold:    coldrate.New(opts.VM),
 	}
 	d.SetCap(opts.Cap)
+	d.routers.Store(assumedRouters)
 	return d
 }
 
--- a/transport/direct/dispatcher_test.go
+++ b/transport/direct/dispatcher_test.go
@@ -68,6 +68,13 @@
 }
 
 func newDispatcherOf(c *courier) (*direct.Dispatcher, *servers.Directory) {
+	d, dir := newUnregistered(c)
+	d.SetRouters([]amaranthtide.VMName{"vm-1"})
+	return d, dir
+}
+
+// newUnregistered returns a dispatcher that doesn't know the registered routers.
+func newUnregistered(c *courier) (*direct.Dispatcher, *servers.Directory) {
 	cfg, dir := declared.New(), servers.New()
 	cfg.Apply(amaranthtide.Configuration{Revision: 1, Services: []amaranthtide.ServiceSpec{{Name: "llm", Engine: true}, {Name: "app"}}})
 	var all []amaranthtide.Instance
@@ -85,7 +92,6 @@
 		VM: "vm-1", Zone: "a", Configuration: cfg, Servers: dir, Traffic: traffic.New(), Courier: c,
 		Cap: choice.Cap{Multiple: 2, Extra: 2}, Retries: shared.Limit{Ratio: 0.2, Slack: 40, Window: 10 * time.Second},
 	})
-	d.SetRouters([]amaranthtide.VMName{"vm-1"})
 	return d, dir
 }
 
@@ -97,6 +103,19 @@
 	}
 }
 
+// Guards against routers that restart while the registry can't be read and that each spend
+// the retries of the whole fleet.
+func TestRetriesBeforeTheRegistryIsKnown(t *testing.T) {
+	is := is.New(t)
+	c := &courier{}
+	d, _ := newUnregistered(c)
+	is.NoErr(d.Serve(t.Context(), request("app", "", false), &discard{}))
+	is.True(d.RetriesLeft(time.Now())["app"] <= 1)
+	d.SetRouters([]amaranthtide.VMName{"vm-1", "vm-2"})
+	is.NoErr(d.Serve(t.Context(), request("app", "", false), &discard{}))
+	is.True(d.RetriesLeft(time.Now())["app"] <= 8) // half of what a fleet of two may save
+}
+
 // Guards against a zone behind a cut that costs each request the time of several
 // failed connections, and against a request that is refused although its own zone
 // could serve it.
