transport/direct: a failure that is shown to the caller counts against its server

Cause: an answer with status 500 to a request that may not be repeated is passed on, and was recorded as a success of the server. Three of four requests are of that kind, so servers that fail part of their requests were left late or never.

Change: the status decides, not whether the answer was passed on.

--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -21,7 +21,9 @@
 	held *heldAnswer
 	// holding tells that the chunks of the present attempt go into held.
 	holding bool
-	shown   bool
+	// failed tells that the present attempt was answered with a failure of the server.
+	failed bool
+	shown  bool
 	// phase is that of the present attempt, which its courier and the bound on silence change.
 	phase   atomic.Int32
 	scanner completion.Scanner
@@ -55,7 +57,7 @@
 	if !a.begin() {
 		return amaranthtide.Errorf(amaranthtide.KindOutcomeUnknown, "the stream began too late: %w", errSilent)
 	}
-	a.holding = false
+	a.holding, a.failed = false, h.Status >= http.StatusInternalServerError
 	if a.shown {
 		if h.Status != http.StatusOK {
 			return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "status %d for a stream that goes on", h.Status)
@@ -64,7 +66,7 @@
 		a.scanner.Resume()
 		return nil
 	}
-	if a.mayHold && h.Status >= http.StatusInternalServerError {
+	if a.mayHold && a.failed {
 		a.held, a.holding = &heldAnswer{head: h}, true
 		return nil
 	}
--- a/transport/direct/dispatcher_test.go
+++ b/transport/direct/dispatcher_test.go
@@ -116,6 +116,30 @@
 	is.True(d.RetriesLeft(time.Now())["app"] <= 8) // half of what a fleet of two may save
 }
 
+// Guards against a server that answers each request with a failure and keeps its chats,
+// since requests that may not be repeated show the failure and go nowhere else.
+func TestFailuresThatAreShownCount(t *testing.T) {
+	is := is.New(t)
+	c := &courier{alone: true}
+	var bad amaranthtide.BackendServerName
+	c.answer = func(_ context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error {
+		if bad == "" {
+			bad = a.Server
+		}
+		status := 200
+		if a.Server == bad {
+			status = 500
+		}
+		return w.Head(amaranthtide.AnswerHead{Attempt: a.Request.Attempt, Server: a.Server, Status: status})
+	}
+	d := newDispatcher(c)
+	last := &discard{}
+	for range 5 {
+		is.NoErr(d.Serve(t.Context(), request("llm", "chat", true), last))
+	}
+	is.Equal(last.status, 200)
+}
+
 // Guards against a zone behind a cut that costs each request the time of several
 // failed connections, and against a request that is refused although its own zone
 // could serve it.
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -85,6 +85,8 @@
 		r.d.noteZone(in.Zone, func(rec *outlier.Record) { rec.Succeeded(now) })
 	}
 	switch {
+	case err == nil && r.answer.failed: // the caller got it, since no other server may run the request
+		r.d.note(in.Name, func(rec *outlier.Record) { rec.Failed(now) })
 	case err == nil, kind == amaranthtide.KindCanceled && ctx.Err() == context.Canceled:
 		r.d.note(in.Name, func(rec *outlier.Record) { rec.Succeeded(now) })
 	case kind == amaranthtide.KindNoBackend:
