transport/gateway, platform, cmd/soak: an advertised address, links between routers are cut

Cause: routers registered the address on which they listen, so that the soak could not put a link between them. The tree of loads rests on these links.

Change: the setting advertise names the address at which other routers reach this one; without it that is listen. In the soak, other routers reach each router over a link that delays, resets, passes one way only or falls silent.

--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -64,11 +64,11 @@
 	{"storeForgets", func(s *soak, _ context.Context, _ *rand.Rand) { s.store.Forget() }},
 	{"storeLink", func(s *soak, ctx context.Context, random *rand.Rand) {
 		r := s.anyRouter(random)
-		end := r.disturbed.begin(time.Now())
-		r.store.set(linkFault(1 + random.IntN(int(linkFaults)-1)))
-		s.pause(ctx, random, 500*time.Millisecond, 5*time.Second)
-		r.store.set(linkFine)
-		end(time.Now())
+		s.disturbLink(ctx, random, r, r.store)
+	}},
+	{"routerLink", func(s *soak, ctx context.Context, random *rand.Rand) {
+		r := s.anyRouter(random)
+		s.disturbLink(ctx, random, r, r.mesh)
 	}},
 	{"serverLink", func(s *soak, ctx context.Context, random *rand.Rand) {
 		b := s.anyBackend(random)
@@ -117,6 +117,15 @@
 	}
 }
 
+// disturbLink harms a link of a router for a while.
+func (s *soak) disturbLink(ctx context.Context, random *rand.Rand, r *router, k *link) {
+	end := r.disturbed.begin(time.Now())
+	k.set(linkFault(1 + random.IntN(int(linkFaults)-1)))
+	s.pause(ctx, random, 500*time.Millisecond, 5*time.Second)
+	k.set(linkFine)
+	end(time.Now())
+}
+
 func (s *soak) anyRouter(random *rand.Rand) *router { return s.routers[random.IntN(len(s.routers))] }
 
 func (s *soak) restart(r *router) {
--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -14,7 +14,8 @@
 // grace is the time from SIGTERM to SIGKILL.
 const grace = 4 * time.Second
 
-// router is one router process with a link of its own to the store.
+// router is one router process with a link of its own to the store and one by which other
+// routers reach it.
 type router struct {
 	name, zone string
 	command    []string
@@ -23,6 +24,7 @@
 	ready      netip.AddrPort
 	listen     netip.AddrPort
 	store      *link
+	mesh       *link
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -40,6 +42,7 @@
 callers = %s
 ready = %s
 listen = %s
+advertise = %s
 metrics = %s
 seeds = %s
 fleetKey = amaranthtide-soak
@@ -59,7 +62,7 @@
 
 // writeSettings writes the settings file of the router.
 func (r *router) writeSettings(metrics netip.AddrPort, seeds string) error {
-	text := fmt.Sprintf(settingsTemplate, r.name, r.zone, r.callers, r.ready, r.listen, metrics, seeds, grace, r.store.addr())
+	text := fmt.Sprintf(settingsTemplate, r.name, r.zone, r.callers, r.ready, r.listen, r.mesh.addr(), metrics, seeds, grace, r.store.addr())
 	return os.WriteFile(r.settings(), []byte(text), 0o600)
 }
 
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -129,23 +129,28 @@
 			s.backends = append(s.backends, b)
 		}
 	}
-	var listens []string
+	var seeds []string
 	for _, zone := range zones {
 		for i := range routersPerZone {
 			ports, err := freePorts(4)
 			if err != nil {
 				return err
 			}
-			k, err := newLink(s.store.Addr())
+			store, err := newLink(s.store.Addr())
 			if err != nil {
 				return err
 			}
+			mesh, err := newLink(ports[2])
+			if err != nil {
+				store.close()
+				return err
+			}
 			r := &router{
 				name: fmt.Sprintf("vm-%s-%d", zone, i), zone: zone, command: s.opts.Router, dir: s.opts.Dir,
-				callers: ports[0], ready: ports[1], listen: ports[2], store: k,
+				callers: ports[0], ready: ports[1], listen: ports[2], store: store, mesh: mesh,
 			}
-			listens = append(listens, ports[2].String())
-			if err := r.writeSettings(ports[3], strings.Join(listens[:min(3, len(listens))], ",")); err != nil {
+			seeds = append(seeds, mesh.addr().String())
+			if err := r.writeSettings(ports[3], strings.Join(seeds[:min(3, len(seeds))], ",")); err != nil {
 				return err
 			}
 			s.routers = append(s.routers, r)
@@ -225,6 +230,7 @@
 	for _, r := range s.routers {
 		r.stop()
 		r.store.close()
+		r.mesh.close()
 	}
 	for _, b := range slices.Concat(s.backends, s.left) {
 		b.close()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -60,6 +60,8 @@
 	// Entry is the router's own entry in the registry. Its address is where other
 	// routers reach it.
 	Entry amaranthtide.RouterEntry
+	// Listen is where this router accepts connections of others.
+	Listen netip.AddrPort
 	// Callers is where callers are served, Ready where the load balancer asks.
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
@@ -132,7 +134,7 @@
 	if g.meter, err = metrics.New(); err != nil {
 		return nil, err
 	}
-	g.mesh, err = mesh.New(mesh.Options{Listen: opts.Entry.Address, Key: []byte(opts.FleetKey), Logger: opts.Logger.Named("mesh")})
+	g.mesh, err = mesh.New(mesh.Options{Listen: opts.Listen, Advertise: opts.Entry.Address, Key: []byte(opts.FleetKey), Logger: opts.Logger.Named("mesh")})
 	if err != nil {
 		return nil, err
 	}
