--- a/protocol/message/codec.go
+++ b/protocol/message/codec.go
@@ -87,6 +87,14 @@
 	return nil
 }
 
+// checkNameList refuses a list with more than limit identifiers, or with one that is too long.
+func checkNameList(field string, names []string, limit int) error {
+	if err := checkLength(field, len(names), limit); err != nil {
+		return err
+	}
+	return checkNames(names...)
+}
+
 // checkNames refuses identifiers that are longer than MaxName.
 func checkNames(names ...string) error {
 	for _, n := range names {
--- a/protocol/message/digest.go
+++ b/protocol/message/digest.go
@@ -43,10 +43,7 @@
 	if err := checkNames(m.Zone, m.From); err != nil {
 		return err
 	}
-	if err := checkLength("live", len(m.Live), MaxVMs); err != nil {
-		return err
-	}
-	if err := checkNames(m.Live...); err != nil {
+	if err := checkNameList("live", m.Live, MaxVMs); err != nil {
 		return err
 	}
 	if err := checkLength("loads", len(m.Loads), MaxLoads); err != nil {
--- a/protocol/message/load_report.go
+++ b/protocol/message/load_report.go
@@ -67,10 +67,7 @@
 	if err := checkNames(m.VM, m.Zone, string(m.Address)); err != nil {
 		return err
 	}
-	if err := checkLength("hubs", len(m.Hubs), MaxVMs); err != nil {
-		return err
-	}
-	if err := checkNames(m.Hubs...); err != nil {
+	if err := checkNameList("hubs", m.Hubs, MaxVMs); err != nil {
 		return err
 	}
 	if err := checkLength("loads", len(m.Loads), MaxLoads); err != nil {
--- a/transport/peers/exchange_test.go
+++ b/transport/peers/exchange_test.go
@@ -44,10 +44,16 @@
 }
 
 func (n *network) Subscribe(ctx context.Context, topic string) (<-chan *watermill.Message, error) {
-	in, out := make(chan *watermill.Message), make(chan *watermill.Message)
+	in := make(chan *watermill.Message)
 	n.mu.Lock()
 	n.topics[topic] = in
 	n.mu.Unlock()
+	return subscription(ctx, in), nil
+}
+
+// subscription passes messages on until ctx ends.
+func subscription(ctx context.Context, in <-chan *watermill.Message) <-chan *watermill.Message {
+	out := make(chan *watermill.Message)
 	go func() {
 		defer close(out)
 		for {
@@ -59,7 +65,7 @@
 			}
 		}
 	}()
-	return out, nil
+	return out
 }
 
 func (n *network) Close() error { return nil }
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -79,22 +79,11 @@
 }
 
 func (n *node) Subscribe(ctx context.Context, topic string) (<-chan *watermill.Message, error) {
-	in, out := make(chan *watermill.Message, 4096), make(chan *watermill.Message)
+	in := make(chan *watermill.Message, 4096)
 	n.fleet.mu.Lock()
 	n.topics[topic] = in
 	n.fleet.mu.Unlock()
-	go func() {
-		defer close(out)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case m := <-in:
-				out <- m
-			}
-		}
-	}()
-	return out, nil
+	return subscription(ctx, in), nil
 }
 
 func (n *node) Next(context.Context, amaranthtide.FeedTable, amaranthtide.Option[amaranthtide.RowVersion], time.Duration) (amaranthtide.FeedPage, error) {
