transport/peers: whole tables are no longer passed on, one read of the registry for a restart

Bytes by topic on a site of 99 routers and 994 servers show rows: after a start, each router reads the whole list of servers and passed it on to each router of its zone. A restarted router also read the registry twice, since a report told it of the newest row before its own reading had ended; found by a test that failed in one of 60 runs beside load.

Change: only readers of the zone pass changes on; a whole table is told as a notice, and those that lack rows ask for them. A reading clears news that it covers. Names of routers are collected only for a router that is new. The operators' table is polled each 30 s, the longest wait.

--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -28,10 +28,10 @@
 )
 
 const (
-	// feedWait is how long a call waits for changes. Each call is priced. A call that
-	// was lost with its connection is noticed by the reports of other routers (Behind),
-	// or else after this time.
-	feedWait = 20 * time.Second
+	// feedWait is how long a call waits for changes, the longest that the feed allows,
+	// since each call is priced. A call that was lost with its connection is noticed by
+	// the reports of other routers (Behind), or else after this time.
+	feedWait = 30 * time.Second
 	// relayedWait is the same for the relayed table. Few routers read it, and others
 	// rely on them.
 	relayedWait = 2 * time.Second
--- a/transport/peers/loads.go
+++ b/transport/peers/loads.go
@@ -178,13 +178,16 @@
 		note(&entry)
 		e.routers[r.From.VM] = entry
 	}
-	names, settled := e.names(), e.settled
+	// Before the registry was read, a few routers may look like all of them.
+	var names []amaranthtide.VMName
+	if !known && e.settled {
+		names = e.names()
+	}
 	e.mu.Unlock()
 	if !known {
 		e.opts.Logger.Info("router seen", "vm", r.From.VM, "zone", r.From.Zone)
 	}
-	// Before the registry was read, a few routers may look like all of them.
-	if !known && settled {
+	if names != nil {
 		e.opts.Routers(names)
 	}
 	e.learn(r.Registry)
--- a/transport/peers/registry.go
+++ b/transport/peers/registry.go
@@ -109,6 +109,12 @@
 		}
 	}
 	e.settled = true
+	if e.newer <= e.registry { // the news came before this was read
+		select {
+		case <-e.outdated:
+		default:
+		}
+	}
 	names := e.names()
 	e.mu.Unlock()
 	e.opts.Routers(names)
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -95,13 +95,17 @@
 }
 
 // Relay passes a page of the relayed table, read after the given version, on to the
-// routers of the zone. A page without rows tells them that the table can be read; only
-// readers of the zone pass it on.
+// routers of the zone, if this router is a reader of the zone. A page without rows tells
+// them that the table can be read. So does a whole table, which grows with the fleet:
+// those that lack some of it ask for that.
 func (e *Exchange) Relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
 	now := time.Now()
+	if page.Whole {
+		page = amaranthtide.FeedPage{}
+	}
 	e.mu.Lock()
 	var to []netip.AddrPort
-	if len(page.Rows) > 0 || slices.Contains(e.readers(now), e.opts.Self.VM) {
+	if slices.Contains(e.readers(now), e.opts.Self.VM) {
 		to = e.addresses(e.trusted(now)...)
 	}
 	e.mu.Unlock()
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -14,6 +14,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/placement"
+	"amaranthtide/protocol/frame"
 	"amaranthtide/state/feed"
 	"amaranthtide/state/traffic"
 	"amaranthtide/transport/mesh"
@@ -33,6 +34,8 @@
 	reads    int
 	writes   int
 	messages int
+	// bytes are those of the messages that each router sent.
+	bytes map[amaranthtide.VMName]int
 }
 
 // node is the peers.Mesh of one router and its view of the registry.
@@ -52,6 +55,7 @@
 	return &fleet{
 		nodes: make(map[netip.AddrPort]*node), cut: amaranthtide.NewSet[amaranthtide.VMName](),
 		registry: make(map[amaranthtide.VMName]amaranthtide.FeedRow), entries: make(map[string]amaranthtide.RouterEntry),
+		bytes: make(map[amaranthtide.VMName]int),
 	}
 }
 
@@ -66,6 +70,7 @@
 	for _, msg := range messages {
 		for part := range strings.SplitSeq(msg.Metadata.Get(mesh.MetadataPeers), ",") {
 			f.messages++
+			f.bytes[n.entry.VM] += frame.HeaderSize + len(topic) + len(msg.Payload)
 			to := f.nodes[netip.MustParseAddrPort(part)]
 			if to == nil || f.cut.Has(n.entry.VM) || f.cut.Has(to.entry.VM) || to.topics[topic] == nil {
 				continue
@@ -362,3 +367,101 @@
 		}
 	})
 }
+
+// Guards against a restart of all routers in which each sends the list of servers to each
+// other one: a zone of 33 routers with 1,000 servers then took 10 s to serve again.
+func TestWholeTablesAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "a", 8)
+		defer closeAll(zones)
+		time.Sleep(6 * time.Second)
+		page := amaranthtide.FeedPage{Whole: true, Version: 9}
+		for i := range 1000 {
+			page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: listing, Key: fmt.Sprint("e", i), Version: 9, Value: make([]byte, 100)})
+		}
+		changed := amaranthtide.FeedPage{Version: 10, Rows: page.Rows[:1]}
+		for _, n := range zones["a"] {
+			sent := func(relay func()) int {
+				f.mu.Lock()
+				before := f.bytes[n.entry.VM]
+				f.mu.Unlock()
+				relay()
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.bytes[n.entry.VM] - before
+			}
+			if got := sent(func() { n.Relay(0, page) }); got > 1000 {
+				t.Errorf("%s: got: %d bytes for a whole table, want: a notice to 7 routers", n.entry.VM, got)
+			}
+			got, reader := sent(func() { n.Relay(9, changed) }), n.Rank(time.Now()) >= 0
+			if reader != (got > 7*100) {
+				t.Errorf("%s: got: %d bytes for a change, want: the change to 7 routers if it is a reader (%v)", n.entry.VM, got, reader)
+			}
+		}
+	})
+}
+
+// Guards against a router that is no hub and sends more than 20 KB a second for control, at
+// sizes of today's deployments. It logs the figures of docs/CAPACITY.md.
+func TestBytesOfTheTree(t *testing.T) {
+	const perSecond = 20_000
+	for _, size := range []struct {
+		zones            string
+		perZone, servers int
+	}{{"abc", 4, 21}, {"abcd", 26, 64}, {"abc", 45, 94}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			zones := startZones(t, f, size.zones, size.perZone)
+			defer closeAll(zones)
+			routers := 0
+			for _, nodes := range zones {
+				for _, n := range nodes {
+					for i := range 4 { // requests in flight at a router
+						n.load.Begin(amaranthtide.BackendServerName(fmt.Sprintf("i-%08d", (4*routers+i)%size.servers)))
+					}
+					routers++
+				}
+			}
+			time.Sleep(6 * time.Second)
+			f.mu.Lock()
+			clear(f.bytes)
+			f.messages = 0
+			f.mu.Unlock()
+			const span = 5 * time.Second
+			change := func(n *node, i int) {
+				name := amaranthtide.BackendServerName(fmt.Sprintf("i-%08d", i%size.servers))
+				n.load.Begin(name)
+				time.AfterFunc(time.Second, func() { n.load.End(name) })
+			}
+			for tick := range int(span / (100 * time.Millisecond)) {
+				for z, nodes := range zones {
+					for i, n := range nodes {
+						change(n, tick+7*i+int(z[0]))
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			total, most, members := 0, 0, 0
+			hubs := amaranthtide.NewSet[amaranthtide.VMName]()
+			for _, nodes := range zones {
+				hubs.Add(hub(nodes).entry.VM)
+			}
+			for vm, n := range f.bytes {
+				total += n
+				most = max(most, n)
+				if !hubs.Has(vm) {
+					members = max(members, n)
+				}
+			}
+			seconds := int(span / time.Second)
+			t.Logf("%d zones of %d, %d servers: %.1f messages a second for each router, bytes a second: mean %d, member %d, hub %d",
+				len(size.zones), size.perZone, size.servers, float64(f.messages)/float64(routers*seconds), total/routers/seconds, members/seconds, most/seconds)
+			if members/seconds > perSecond {
+				t.Errorf("got: %d bytes a second of a router that is no hub, want: at most %d", members/seconds, perSecond)
+			}
+		})
+	}
+}
