--- a/state/traffic/traffic.go
+++ b/state/traffic/traffic.go
@@ -16,6 +16,7 @@
 package traffic
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -153,6 +154,23 @@
 	return sorted(sum)
 }
 
+// Highest returns the given number of highest loads, ordered by server. The others are
+// below the cap on the load of a server wherever that matters.
+func Highest(all []amaranthtide.ServerLoad, n int) []amaranthtide.ServerLoad {
+	if len(all) <= n {
+		return all
+	}
+	out := slices.Clone(all)
+	slices.SortStableFunc(out, func(a, b amaranthtide.ServerLoad) int { return cmp.Compare(b.InFlight, a.InFlight) })
+	out = out[:n]
+	slices.SortFunc(out, byServer)
+	return out
+}
+
+func byServer(a, b amaranthtide.ServerLoad) int {
+	return strings.Compare(string(a.Server), string(b.Server))
+}
+
 func (t *Traffic) ownLoads() loads {
 	sum := make(loads)
 	t.own.Range(func(name amaranthtide.BackendServerName, n int) bool {
@@ -204,7 +222,7 @@
 	for name, n := range sum {
 		out = append(out, amaranthtide.ServerLoad{Server: name, InFlight: n})
 	}
-	slices.SortFunc(out, func(a, b amaranthtide.ServerLoad) int { return strings.Compare(string(a.Server), string(b.Server)) })
+	slices.SortFunc(out, byServer)
 	return out
 }
 
--- a/state/traffic/traffic_test.go
+++ b/state/traffic/traffic_test.go
@@ -78,3 +78,12 @@
 	tr.ObserveTotals(now, loads(8))
 	is.Equal(tr.Load(now.Add(100*time.Millisecond), "e1"), 8)
 }
+
+// Guards against a bound on the size of messages that leaves out the servers that are
+// loaded most.
+func TestHighestLoads(t *testing.T) {
+	is := is.New(t)
+	all := []amaranthtide.ServerLoad{{Server: "a", InFlight: 1}, {Server: "b", InFlight: 9}, {Server: "c", InFlight: 2}, {Server: "d", InFlight: 5}}
+	is.Equal(traffic.Highest(all, 4), all)
+	is.Equal(traffic.Highest(all, 2), []amaranthtide.ServerLoad{{Server: "b", InFlight: 9}, {Server: "d", InFlight: 5}})
+}
--- a/transport/peers/loads.go
+++ b/transport/peers/loads.go
@@ -10,6 +10,7 @@
 	"amaranthtide"
 	"amaranthtide/coordination/placement"
 	"amaranthtide/protocol/message"
+	"amaranthtide/state/traffic"
 	"amaranthtide/transport/mesh"
 )
 
@@ -19,6 +20,10 @@
 	// noticeInterval is how often a hub tells the totals to routers of its zone that do
 	// not report to it: one that restarted without the registry learns of the hub by it.
 	noticeInterval = 2 * time.Second
+	// maxTotals and maxZoneLoads bound the servers in a message, so that a hub with many
+	// routers and servers stays within a link of 10 Mbit/s.
+	maxTotals    = 128
+	maxZoneLoads = 512
 	// probedHubs is how many routers of another zone are told the sum of this one at a
 	// time while that zone's hub is not known.
 	probedHubs = 2
@@ -96,7 +101,7 @@
 		report.Hubs = e.heardHubs(now)
 	}
 	e.mu.Unlock()
-	report.Loads = e.opts.Traffic.Totals(now)
+	report.Loads = traffic.Highest(e.opts.Traffic.Totals(now), maxTotals)
 	e.publish(message.TopicTotals, message.NewLoadReport(report), addrs)
 }
 
@@ -124,7 +129,7 @@
 	to := e.otherHubs(now)
 	report := e.newReport(nil)
 	e.mu.Unlock()
-	report.Loads = e.opts.Traffic.Gathered(now)
+	report.Loads = traffic.Highest(e.opts.Traffic.Gathered(now), maxZoneLoads)
 	e.publish(message.TopicZoneLoads, message.NewLoadReport(report), to)
 }
 
