--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -51,6 +51,8 @@
 address = %s
 [limits]
 capMultiple = 2
+leavingBound = 2s
+configurationBound = 2s
 retryRatio = 0.2
 retrySlack = 100
 retryWindow = 10s
--- a/protocol/message/rows.go
+++ b/protocol/message/rows.go
@@ -5,20 +5,42 @@
 	"compress/flate"
 	"errors"
 	"io"
+	"time"
 
 	"amaranthtide"
 )
 
-// RowsRequest requests the rows of a table of the platform's feed that changed after
-// a version.
+// RowsRequest requests the rows of tables of the platform's feed that changed after
+// given versions. The first table is always answered, the others only if they have
+// changed.
 type RowsRequest struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
 
+	Tables []TableVersion
+}
+
+// TableVersion names a table and the version that a router has of it.
+type TableVersion struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
+
 	Table string
 	After uint64
 }
 
-func (m *RowsRequest) check() error { return checkNames(m.Table) }
+// maxRequestedTables is the largest number of tables in one RowsRequest.
+const maxRequestedTables = 16
+
+func (m *RowsRequest) check() error {
+	if err := checkLength("tables", len(m.Tables), maxRequestedTables); err != nil {
+		return err
+	}
+	for _, t := range m.Tables {
+		if err := checkNames(t.Table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // Rows carries rows of a table of the platform's feed, in response to RowsRequest or
 // unsolicited from a router that reads the feed.
@@ -31,9 +53,13 @@
 	Version uint64
 	// Whole is set if Rows holds all rows of the table.
 	Whole bool
-	// SenderReadsFeed is set if the sender reads the table directly from the feed.
-	SenderReadsFeed bool
-	Rows            []FeedRow
+	// ViewAgeMillis is the time since the feed last confirmed the sender's view of it,
+	// directly or through other routers; negative if it never has.
+	ViewAgeMillis int64
+	// Answer is set if the message answers a request, rather than being sent by a router
+	// that relays the feed.
+	Answer bool
+	Rows   []FeedRow
 }
 
 // FeedRow is the encoded form of amaranthtide.FeedRow.
@@ -53,10 +79,13 @@
 // Mbit/s.
 const minDeflateSize = 4 << 10
 
-// NewRows converts a page of a table to a message. senderReadsFeed tells whether this
-// router reads the table directly from the feed.
-func NewRows(table amaranthtide.FeedTable, after amaranthtide.RowVersion, page amaranthtide.FeedPage, senderReadsFeed bool) *Rows {
-	m := &Rows{Table: string(table), After: uint64(after), Version: uint64(page.Version), Whole: page.Whole, SenderReadsFeed: senderReadsFeed, Rows: make([]FeedRow, 0, len(page.Rows))}
+// NewRows converts a page of a table to a message. viewAge is the time since the feed last
+// confirmed this router's view, absent if it never has.
+func NewRows(table amaranthtide.FeedTable, after amaranthtide.RowVersion, page amaranthtide.FeedPage, viewAge amaranthtide.Option[time.Duration]) *Rows {
+	m := &Rows{Table: string(table), After: uint64(after), Version: uint64(page.Version), Whole: page.Whole, ViewAgeMillis: -1, Rows: make([]FeedRow, 0, len(page.Rows))}
+	if age, ok := viewAge.Get(); ok {
+		m.ViewAgeMillis = age.Milliseconds()
+	}
 	for _, row := range page.Rows {
 		value, deflated := deflate(row.Value)
 		m.Rows = append(m.Rows, FeedRow{Key: row.Key, Version: uint64(row.Version), Removed: row.Value == nil, Deflated: deflated, Value: value})
@@ -82,19 +111,33 @@
 	return buf.Bytes(), true
 }
 
-func inflate(value []byte) ([]byte, error) {
-	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(value)), MaxSize+1))
+// inflate decompresses a value of at most limit bytes.
+func inflate(value []byte, limit int) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(value)), int64(limit)+1))
 	if err != nil {
 		return nil, badMessage("decompress row value: %w", err)
 	}
-	return out, checkLength("row value", len(out), MaxSize)
+	return out, checkLength("decompressed row values", len(out), limit)
 }
 
+// ViewAge returns the age of the sender's view, absent if the feed has never confirmed it.
+func (m *Rows) ViewAge() amaranthtide.Option[time.Duration] {
+	if m.ViewAgeMillis < 0 {
+		return amaranthtide.None[time.Duration]()
+	}
+	return amaranthtide.Some(time.Duration(min(m.ViewAgeMillis, maxViewAgeMillis)) * time.Millisecond)
+}
+
+// maxViewAgeMillis keeps the age of a peer's view within the range of time.Duration.
+const maxViewAgeMillis = 1 << 40
+
 // ToDomain converts the message to the table and the page. A value that can't be
-// decompressed is an error.
+// decompressed is an error, and so are values that exceed MaxSize together: a small
+// message can't claim the memory of the process.
 func (m *Rows) ToDomain() (amaranthtide.FeedTable, amaranthtide.FeedPage, error) {
 	table := amaranthtide.FeedTable(m.Table)
 	page := amaranthtide.FeedPage{Version: amaranthtide.RowVersion(m.Version), Whole: m.Whole}
+	inflated := 0
 	for _, row := range m.Rows {
 		r := amaranthtide.FeedRow{Table: table, Key: row.Key, Version: amaranthtide.RowVersion(row.Version), Value: row.Value}
 		switch {
@@ -102,9 +145,10 @@
 			r.Value = nil
 		case row.Deflated:
 			var err error
-			if r.Value, err = inflate(row.Value); err != nil {
+			if r.Value, err = inflate(row.Value, MaxSize-inflated); err != nil {
 				return table, page, err
 			}
+			inflated += len(r.Value)
 		case r.Value == nil:
 			r.Value = []byte{}
 		}
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -7,7 +7,8 @@
 	"amaranthtide"
 )
 
-// callFeed reads the next page of a table from the feed. Behind may cancel the call.
+// callFeed reads the next page of a table from the feed. Behind and recordFailure may
+// cancel the call.
 func (f *Follower) callFeed(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
@@ -46,37 +47,46 @@
 	return true
 }
 
-// recordFailure records a failed call and returns the mean wait before the next one.
+// recordFailure records a failed call and returns the mean wait before the next one. If
+// the polled table can't be read, the other calls in flight probably hang as well and are
+// canceled.
 func (f *Follower) recordFailure(now time.Time, table amaranthtide.FeedTable, err error) time.Duration {
-	if f.ctx.Err() != nil {
-		return minRetryWait
-	}
+	position := f.opts.Position(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.ctx.Err() != nil {
+		return time.Millisecond
+	}
 	failed, repeated := f.failures[table]
 	if !repeated {
 		failed.since = now
 		f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(0), "error", err)
+		if table == f.opts.PolledTable {
+			for _, cancel := range f.cancelCalls {
+				cancel()
+			}
+		}
 	}
 	failed.calls++
 	f.failures[table] = failed
 	f.updateListReadability(now)
-	return min(minRetryWait<<min(failed.calls-1, maxDoublings), maxRetryWait)
+	return f.opts.Schedule.RetryWait(position, failed.calls)
 }
 
-// maxDoublings suffices to get from minRetryWait to maxRetryWait.
-const maxDoublings = 4
-
-func (f *Follower) recordSuccess(now time.Time, table amaranthtide.FeedTable) {
+// recordSuccess records a call that confirmed the table as of the given time.
+func (f *Follower) recordSuccess(now time.Time, table amaranthtide.FeedTable, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	failed, ok := f.failures[table]
-	if !ok {
-		return
+	if failed, ok := f.failures[table]; ok {
+		delete(f.failures, table)
+		f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(failed.since), "calls", failed.calls)
+	}
+	if table == f.opts.PolledTable {
+		f.ownView = confirmedAt
+		f.updateListReadability(now)
+		close(f.readable)
+		f.readable = make(chan struct{})
 	}
-	delete(f.failures, table)
-	f.updateListReadability(now)
-	f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(failed.since), "calls", failed.calls)
 }
 
 func (f *Follower) hasFailed(table amaranthtide.FeedTable) bool {
@@ -86,35 +96,32 @@
 	return ok
 }
 
-// updateListReadability sets whether the server list can be read, by this router or by
-// another one. Only then are removals from it final. The caller holds mu.
-func (f *Follower) updateListReadability(now time.Time) {
-	_, failing := f.failures[f.opts.RelayedTable]
-	if (failing || !f.readsRelayed) && now.Sub(f.peerReadAt) > peerReadTimeout {
-		f.serverList.MarkUnreadable()
-		return
+// awaitPoll waits until this router reads the polled table the next time.
+func (f *Follower) awaitPoll() {
+	f.mu.Lock()
+	next := f.readable
+	f.mu.Unlock()
+	select {
+	case <-next:
+	case <-f.ctx.Done():
 	}
-	f.serverList.MarkReadable(now)
 }
 
-// UnavailableTables returns the tables whose feed has failed for at least unavailableAfter.
-func (f *Follower) UnavailableTables(now time.Time) []amaranthtide.FeedTable {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var unavailable []amaranthtide.FeedTable
-	for _, table := range f.opts.Tables {
-		if failed, ok := f.failures[table]; ok && now.Sub(failed.since) >= unavailableAfter {
-			unavailable = append(unavailable, table)
+// awaitReadable waits until this router reads the polled table without failures. It
+// returns false once the Follower is closed.
+func (f *Follower) awaitReadable() bool {
+	for f.ctx.Err() == nil {
+		f.mu.Lock()
+		_, failing := f.failures[f.opts.PolledTable]
+		ready, next := f.reads && !failing && !f.ownView.IsZero(), f.readable
+		f.mu.Unlock()
+		if ready {
+			return true
+		}
+		select {
+		case <-next:
+		case <-f.ctx.Done():
 		}
 	}
-	return unavailable
-}
-
-// Reading reports whether this router reads the table from the feed and the last call
-// succeeded.
-func (f *Follower) Reading(_ time.Time, table amaranthtide.FeedTable) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_, failing := f.failures[table]
-	return !failing && (table != f.opts.RelayedTable || f.readsRelayed)
+	return false
 }
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -1,27 +1,34 @@
-// Package follow keeps a router up to date with the servers that the platform lists and
-// the configuration that operators declare. It follows the tables of the platform's feed,
-// applies rows from other routers while the feed is unavailable, and updates the state
-// that requests are served from.
+// Package follow keeps a router up to date with the servers that the platform lists, the
+// configuration that operators declare and the registered routers. It follows the tables
+// of the platform's feed, either by calls to the feed or by rows that other routers relay,
+// and updates the state that requests are served from.
+//
+// One table, the server list, is polled: its calls return within a short time even if
+// nothing has changed, and thereby show whether the feed can be read. Calls for the other
+// tables wait for changes, as long as the polled table can be read.
 //
 // # Usage
 //
-//	f := follow.New(follow.Options{Feed: store, Decoder: reader, Tables: names, Rows: rows,
-//		Configuration: c, Servers: s, RelayedTable: list, Relay: relay, ReaderRank: rank})
+//	f := follow.New(follow.Options{Feed: store, Decoder: decoder, Tables: names, PolledTable: list,
+//		Rows: rows, Configuration: c, Servers: s, Schedule: schedule, Position: position,
+//		Relay: relay, OnRoutersChanged: update})
 //	f.Start()
 //	defer f.Close() // waits for all goroutines
-//	if len(f.UnavailableTables(now)) > 0 { ... } // some tables can't be read
-//	f.Apply(now, table, page)                    // rows from another router
+//	f.ApplyFromPeer(now, table, page, viewAge) // rows from another router
+//	if f.Stale(now) { ... }                    // rows should be requested from other routers
 package follow
 
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"amaranthtide"
+	"amaranthtide/coordination/reading"
 	"amaranthtide/coordination/registration"
 	"amaranthtide/state/declared"
 	"amaranthtide/state/feed"
@@ -29,76 +36,64 @@
 )
 
 const (
-	// feedWait is how long a call waits for changes. It is the longest wait that the feed
-	// allows, since each call is billed. A call whose connection was lost is detected
-	// through the reports of other routers (Behind), or at the latest after this time.
+	// feedWait is how long a call waits for changes of a table that is not polled. It is the
+	// longest wait that the feed allows, since each call is billed.
 	feedWait = 30 * time.Second
-	// relayedWait is the same for the relayed table. The few routers that read it wait
-	// less, since the others depend on them.
-	relayedWait = 2 * time.Second
-	// minRetryWait is the mean wait after the first failed call. It doubles with each
-	// further failure, since refused calls are billed too, up to maxRetryWait: a router
-	// whose connection to the platform recovers then still applies a change within the time
-	// allowed for it.
-	minRetryWait = 300 * time.Millisecond
-	maxRetryWait = 1200 * time.Millisecond
-	// unavailableAfter is how long calls must have failed before rows are requested from
-	// other routers.
-	unavailableAfter = 300 * time.Millisecond
-	// peerReadTimeout is how long another router's notice that it can read the server list
-	// stays valid. It spans two requests to other routers, and leaves enough time to read
-	// the list before a leaving server must be out of use.
-	peerReadTimeout = 1300 * time.Millisecond
-	// standbyTimeout is the same for the second reader of a zone, which reads the list once
-	// the first reader sends no more notices. It spans one batchInterval and the
-	// transmission.
-	standbyTimeout = 700 * time.Millisecond
-	// batchInterval is how long a reader of the relayed table waits after a page so that
-	// changes accumulate, since each call is billed and changes come in bursts. It is a
-	// small part of the time in which a leaving server must be out of use.
+	// batchInterval is how long a reader waits after a page with servers or routers so that
+	// changes accumulate, since each call is billed and these changes come in bursts. It is
+	// a small part of the time in which a leaving server must be out of use.
 	batchInterval = 400 * time.Millisecond
+	// startPatience is how long a router that starts waits for rows from other routers
+	// before it reads the feed. They answer within milliseconds if they have any.
+	startPatience = 200 * time.Millisecond
+	// maxAnswerDelay is the time that an answer of the feed may take after the wait of its
+	// call. An answer that was received later, for instance because this process was
+	// suspended, confirms the view only up to then.
+	maxAnswerDelay = 300 * time.Millisecond
 	// maxLag is how long this router may lag behind the rows of another router before its
 	// call in flight counts as lost. A large document takes part of a second on a slow
 	// link. The rest of the time allowed for a change is left for requesting the rows from
 	// another router.
 	maxLag = time.Second
-	// readerCheckInterval is how often a router that relies on other readers checks whether
-	// it must read the relayed table itself.
-	readerCheckInterval = 200 * time.Millisecond
+	// checkInterval is how often a router checks whether it must read the feed.
+	// startCheckInterval is the same for a router that waits for rows after its start.
+	checkInterval      = 200 * time.Millisecond
+	startCheckInterval = 20 * time.Millisecond
 	// expireInterval is how often lapsed servers are removed.
 	expireInterval = 250 * time.Millisecond
 )
 
-// Options are the dependencies and settings of a Follower. All but Observe, OnServerGone
-// and Logger are required.
+// Options are the dependencies and settings of a Follower. All but Observe, OnServerGone,
+// OnRoutersChanged and Logger are required.
 type Options struct {
 	Feed    amaranthtide.Feed
 	Decoder amaranthtide.RowDecoder
 	// Tables are the tables to follow.
-	Tables        []amaranthtide.FeedTable
+	Tables []amaranthtide.FeedTable
+	// PolledTable is the table that lists the servers. It is one of Tables.
+	PolledTable amaranthtide.FeedTable
+	// BatchedTables are the tables whose changes may be delayed by batchInterval.
+	BatchedTables []amaranthtide.FeedTable
 	Rows          *feed.Tables
 	Configuration *declared.Configuration
 	Servers       *servers.Directory
-	// RelayedTable is the table that lists the servers. Only some routers of a zone read it
-	// from the feed and forward it to the others: it changes so often that calls of all
-	// routers would cost too much. It is one of Tables.
-	RelayedTable amaranthtide.FeedTable
-	// Relay is called with each page of the relayed table that this router reads, including
-	// pages without rows.
-	Relay func(after amaranthtide.RowVersion, page amaranthtide.FeedPage)
-	// ReaderRank returns the position of this router among its zone's readers of the relayed
-	// table, starting at 0, or NotReader.
-	ReaderRank func(now time.Time) int
+	// Schedule and Position determine whether this router reads the feed.
+	Schedule reading.Schedule
+	Position func(now time.Time) reading.Position
+	// Relay is called with the changes that this router reads from the feed, and with each
+	// page of the polled table, also if it has no rows. After is absent if this is the first
+	// page of the table.
+	Relay func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage)
 	// Observe is called at the end of each call to the feed; may be nil.
 	Observe func(table amaranthtide.FeedTable, err error)
 	// OnServerGone is called with each server that was removed from the list; may be nil.
 	OnServerGone func(amaranthtide.BackendServerName)
-	Logger       hclog.Logger
+	// OnRoutersChanged is called with the routers whose registrations were added, changed or
+	// removed; may be nil.
+	OnRoutersChanged func(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName)
+	Logger           hclog.Logger
 }
 
-// NotReader is the rank of a router that is not one of its zone's readers.
-const NotReader = -1
-
 // Follower follows the tables of the platform's feed. It is safe for concurrent use. Use
 // New.
 type Follower struct {
@@ -106,20 +101,32 @@
 
 	mu         sync.Mutex
 	serverList *registration.Registration
-	// serverNames and outZones map rows to the server that they list and to the zone that
-	// they take out of service.
+	// serverNames, outZones and routers map rows to the server that they list, the zone
+	// that they take out of service and the router that they register.
 	serverNames map[rowKey]amaranthtide.BackendServerName
 	outZones    map[rowKey]amaranthtide.ZoneName
-	// readsRelayed tells whether this router reads the relayed table from the feed.
-	readsRelayed bool
-	// peerReadAt is when another router last gave notice that it can read the server list.
-	peerReadAt time.Time
+	routers     map[rowKey]amaranthtide.VMName
+	startedAt   time.Time
+	// reads tells whether this router reads the feed. readDelay is the current delay for
+	// Schedule.MustRead.
+	reads     bool
+	readDelay time.Duration
+	// peersStart tells that another router has no view either: this router doesn't wait for
+	// rows from others.
+	peersStart bool
+	// ownView and peerView are the times as of which the feed has confirmed this router's
+	// view: through its own calls, and through the messages of other routers.
+	ownView  time.Time
+	peerView time.Time
 	// failures holds the failed calls of each table since its last successful one.
 	failures map[amaranthtide.FeedTable]failure
 	// cancelCalls holds the function that cancels a table's call in flight.
 	cancelCalls map[amaranthtide.FeedTable]context.CancelFunc
 	// lags holds the tables of which other routers know newer rows.
 	lags map[amaranthtide.FeedTable]lag
+	// readable is closed, and replaced, whenever the polled table becomes readable by calls
+	// of this router.
+	readable chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -151,6 +158,9 @@
 	if opts.OnServerGone == nil {
 		opts.OnServerGone = func(amaranthtide.BackendServerName) {}
 	}
+	if opts.OnRoutersChanged == nil {
+		opts.OnRoutersChanged = func(time.Time, []amaranthtide.RouterEntry, []amaranthtide.VMName) {}
+	}
 	if opts.Observe == nil {
 		opts.Observe = func(amaranthtide.FeedTable, error) {}
 	}
@@ -159,9 +169,11 @@
 		serverList:  registration.New(),
 		serverNames: make(map[rowKey]amaranthtide.BackendServerName),
 		outZones:    make(map[rowKey]amaranthtide.ZoneName),
+		routers:     make(map[rowKey]amaranthtide.VMName),
 		failures:    make(map[amaranthtide.FeedTable]failure),
 		cancelCalls: make(map[amaranthtide.FeedTable]context.CancelFunc),
 		lags:        make(map[amaranthtide.FeedTable]lag),
+		readable:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
@@ -169,8 +181,13 @@
 
 // Start starts following the tables.
 func (f *Follower) Start() {
+	f.startedAt = time.Now()
 	for _, table := range f.opts.Tables {
-		f.wg.Go(func() { f.loop(table) })
+		if table == f.opts.PolledTable {
+			f.wg.Go(f.pollLoop)
+		} else {
+			f.wg.Go(func() { f.loop(table) })
+		}
 	}
 	f.wg.Go(f.run)
 }
@@ -181,42 +198,63 @@
 	f.wg.Wait()
 }
 
-// loop follows one table until the Follower is closed.
-func (f *Follower) loop(table amaranthtide.FeedTable) {
+// pollLoop reads the polled table while this router must read the feed.
+func (f *Follower) pollLoop() {
 	for f.ctx.Err() == nil {
-		if table == f.opts.RelayedTable && !f.updateReading(time.Now()) {
-			f.sleep(readerCheckInterval)
-			continue
-		}
-		// After a failure the feed is called without a wait, so that its recovery is
-		// detected immediately.
-		wait := feedWait
-		switch {
-		case f.hasFailed(table):
-			wait = 0
-		case table == f.opts.RelayedTable:
-			wait = relayedWait
-		}
-		after := f.opts.Rows.Version(table)
-		page, err := f.callFeed(table, after, wait)
-		now := time.Now()
-		if err != nil {
-			meanWait := f.recordFailure(now, table, err)
-			f.sleep(meanWait/2 + rand.N(meanWait))
-			continue
-		}
-		f.recordSuccess(now, table)
-		f.Apply(now, table, page)
-		if table != f.opts.RelayedTable {
+		if !f.updateReading(time.Now()) {
+			f.sleep(f.checkDelay(time.Now()))
 			continue
 		}
-		f.opts.Relay(after.Or(0), page)
-		if len(page.Rows) > 0 {
-			f.sleep(batchInterval)
+		f.read(f.opts.PolledTable, f.opts.Schedule.Poll)
+	}
+}
+
+// loop reads a table that is not polled, while this router reads the polled one. It waits
+// for another poll after the first page: by then, a router that started knows whether it
+// has to read the feed, and saves the long call otherwise.
+func (f *Follower) loop(table amaranthtide.FeedTable) {
+	for f.awaitReadable() {
+		_, known := f.opts.Rows.Version(table).Get()
+		f.read(table, feedWait)
+		if !known {
+			f.awaitPoll()
 		}
 	}
 }
 
+// read calls the feed for a table, applies and relays the result, and waits until the next
+// call is due. After a failure it calls without a wait, so that the recovery of the feed is
+// detected immediately.
+func (f *Follower) read(table amaranthtide.FeedTable, wait time.Duration) {
+	if f.hasFailed(table) {
+		wait = 0
+	}
+	started := time.Now()
+	after := f.opts.Rows.Version(table)
+	page, err := f.callFeed(table, after, wait)
+	now := time.Now()
+	if err != nil {
+		meanWait := f.recordFailure(now, table, err)
+		f.sleep(meanWait/2 + rand.N(meanWait))
+		return
+	}
+	f.recordSuccess(now, table, earliest(now, started.Add(wait+maxAnswerDelay)))
+	changed := f.Apply(now, table, page)
+	if (table == f.opts.PolledTable || len(changed) > 0) && f.mustRelay(now) {
+		f.opts.Relay(table, after, amaranthtide.FeedPage{Version: page.Version, Rows: changed})
+	}
+	if len(page.Rows) > 0 && slices.Contains(f.opts.BatchedTables, table) {
+		f.sleep(batchInterval)
+	}
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (f *Follower) sleep(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -243,6 +281,7 @@
 func (f *Follower) expireServers(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.updateListReadability(now)
 	removed := f.serverList.Expire(now)
 	if len(removed) == 0 {
 		return
@@ -251,17 +290,23 @@
 	f.publishServers(now, removed)
 }
 
-// Apply applies a page of a table, received from the feed or from another router.
-func (f *Follower) Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage) {
+// Apply applies a page of a table and returns the rows that it changed.
+func (f *Follower) Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage) []amaranthtide.FeedRow {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.updateListReadability(now)
 	changed := f.opts.Rows.Apply(table, page)
 	if len(changed) == 0 {
-		return
+		f.mu.Unlock()
+		return nil
 	}
-	var removed []amaranthtide.BackendServerName
+	var effects effects
 	for _, row := range changed {
-		removed = append(removed, f.applyRow(now, row)...)
+		f.applyRow(now, row, &effects)
 	}
-	f.publishServers(now, removed)
+	f.publishServers(now, effects.goneServers)
+	f.mu.Unlock()
+	if len(effects.routers)+len(effects.goneRouters) > 0 {
+		f.opts.OnRoutersChanged(now, effects.routers, effects.goneRouters)
+	}
+	return changed
 }
--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -1,48 +1,139 @@
 package follow
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"amaranthtide"
 )
 
-// updateReading determines and records whether this router must read the relayed table from
-// the feed: as the first reader of its zone, as the second one while the first sends no
-// notices, and as any other router while no router is known to read it. Each router reads
-// it until it has a first version.
+// updateReading determines and records whether this router must read the feed. A router
+// without a view waits startPatience for rows from other routers first.
 func (f *Follower) updateReading(now time.Time) bool {
-	rank := f.opts.ReaderRank(now)
+	position := f.opts.Position(now)
+	_, known := f.opts.Rows.Version(f.opts.PolledTable).Get()
 	f.mu.Lock()
-	sincePeerRead := now.Sub(f.peerReadAt)
-	f.mu.Unlock()
-	_, known := f.opts.Rows.Version(f.opts.RelayedTable).Get()
-	reading := !known || rank == 0 || rank > 0 && sincePeerRead > standbyTimeout || sincePeerRead > peerReadTimeout
-	f.setReadsRelayed(now, reading)
-	return reading
+	defer f.mu.Unlock()
+	reads := f.opts.Schedule.MustRead(position, now.Sub(f.peerView), f.readDelay)
+	if !known {
+		reads = f.peersStart || now.Sub(f.startedAt) >= startPatience
+	}
+	if f.reads == reads {
+		return reads
+	}
+	f.reads = reads
+	f.opts.Logger.Info("reading of the feed changed", "reads", reads, "zonePosition", position.Zone, "position", position.Router, "peerView", f.peerViewText(now))
+	if reads {
+		return true
+	}
+	// Earlier failures no longer tell whether the feed can be read.
+	clear(f.failures)
+	f.readDelay = 0
+	if maxDelay := f.opts.Schedule.MaxDelay(position); maxDelay > 0 {
+		f.readDelay = rand.N(maxDelay)
+	}
+	return false
+}
+
+// checkDelay returns the wait before the next call of updateReading.
+func (f *Follower) checkDelay(now time.Time) time.Duration {
+	if _, known := f.opts.Rows.Version(f.opts.PolledTable).Get(); known {
+		return checkInterval
+	}
+	return max(time.Millisecond, min(startCheckInterval, startPatience-now.Sub(f.startedAt)))
 }
 
-// setReadsRelayed records whether this router reads the relayed table from the feed. Its
-// earlier failures are dropped when it stops reading, since they no longer tell whether the
-// feed can be read.
-func (f *Follower) setReadsRelayed(now time.Time, reading bool) {
+// mustRelay reports whether this router relays what it has read from the feed.
+func (f *Follower) mustRelay(now time.Time) bool {
+	position := f.opts.Position(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.readsRelayed == reading {
-		return
+	return f.opts.Schedule.MustRelay(position, viewAge(now, f.peerView))
+}
+
+// viewAge returns the age of a view, absent if it is the zero time.
+func viewAge(now, view time.Time) amaranthtide.Option[time.Duration] {
+	if view.IsZero() {
+		return amaranthtide.None[time.Duration]()
 	}
-	f.readsRelayed = reading
-	if !reading {
-		delete(f.failures, f.opts.RelayedTable)
+	return amaranthtide.Some(max(0, now.Sub(view)))
+}
+
+// peerViewText returns the age of the view of other routers for the log.
+func (f *Follower) peerViewText(now time.Time) string {
+	age, ok := viewAge(now, f.peerView).Get()
+	if !ok {
+		return "none"
 	}
-	f.updateListReadability(now)
+	return age.String()
 }
 
-// ObservePeerRead records that another router can read the table from the feed.
-func (f *Follower) ObservePeerRead(now time.Time, table amaranthtide.FeedTable) {
+// ApplyFromPeer applies a page that another router has sent. peerViewAge is the age of that
+// router's view. A router without a view of its own takes the rows of a router that can't
+// read the feed only once its own calls have failed too: the feed may hold newer ones. It
+// returns the rows that changed.
+func (f *Follower) ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, peerViewAge amaranthtide.Option[time.Duration]) []amaranthtide.FeedRow {
+	_, known := f.opts.Rows.Version(table).Get()
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if table == f.opts.RelayedTable {
-		f.peerReadAt = now
+	_, failing := f.failures[f.opts.PolledTable]
+	age, confirmed := peerViewAge.Get()
+	current := confirmed && f.opts.Schedule.Current(age)
+	f.peersStart = f.peersStart || !known && !confirmed
+	if !known && !failing && !current {
+		f.mu.Unlock()
+		return nil
+	}
+	if confirmed {
+		f.peerView = latest(f.peerView, now.Add(-age))
 		f.updateListReadability(now)
 	}
+	f.mu.Unlock()
+	if page.Version == 0 {
+		return nil
+	}
+	return f.Apply(now, table, page)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// ViewAge returns the time since the feed last confirmed this router's view, directly or
+// through other routers. It is absent if the feed never has.
+func (f *Follower) ViewAge(now time.Time) amaranthtide.Option[time.Duration] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return viewAge(now, latest(f.ownView, f.peerView))
+}
+
+// Reading reports whether this router reads the feed and the feed answers.
+func (f *Follower) Reading(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads && !f.opts.Schedule.Stale(now.Sub(f.ownView))
+}
+
+// Stale reports whether this router should request rows from any router that may have
+// newer ones.
+func (f *Follower) Stale(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opts.Schedule.Stale(now.Sub(latest(f.ownView, f.peerView)))
+}
+
+// updateListReadability sets whether the server list can be read, by this router or by
+// another one. Only then are removals from it final. The caller holds mu.
+func (f *Follower) updateListReadability(now time.Time) {
+	view := latest(f.ownView, f.peerView)
+	if _, failing := f.failures[f.opts.PolledTable]; failing {
+		view = f.peerView
+	}
+	if f.opts.Schedule.Current(now.Sub(view)) {
+		f.serverList.MarkReadable(now)
+	} else {
+		f.serverList.MarkUnreadable()
+	}
 }
--- a/transport/follow/row.go
+++ b/transport/follow/row.go
@@ -6,16 +6,25 @@
 	"amaranthtide"
 )
 
-// applyRow applies a row and returns the servers that it removes. The caller holds mu.
-func (f *Follower) applyRow(now time.Time, row amaranthtide.FeedRow) []amaranthtide.BackendServerName {
+// effects collects what the rows of a page changed for other components.
+type effects struct {
+	goneServers []amaranthtide.BackendServerName
+	routers     []amaranthtide.RouterEntry
+	goneRouters []amaranthtide.VMName
+}
+
+// applyRow applies a row and adds its effects. The caller holds mu.
+func (f *Follower) applyRow(now time.Time, row amaranthtide.FeedRow, e *effects) {
 	key := rowKey{row.Table, row.Key}
 	if row.Value == nil {
-		return f.removeRow(now, key)
+		f.removeRow(now, key, e)
+		return
 	}
 	decoded, err := f.opts.Decoder.Decode(now, row)
 	if err != nil {
 		f.opts.Logger.Warn("unreadable row treated as removed", "table", row.Table, "key", row.Key, "version", row.Version, "error", err)
-		return f.removeRow(now, key)
+		f.removeRow(now, key, e)
+		return
 	}
 	if cfg, ok := decoded.Configuration.Get(); ok && f.opts.Configuration.Apply(cfg) {
 		f.opts.Logger.Info("configuration applied", "revision", cfg.Revision, "rules", len(cfg.Rules), "keys", len(cfg.Keys))
@@ -31,10 +40,17 @@
 				"leaving", in.Leaving, "cold", !in.ColdUntil.IsZero(), "version", row.Version)
 		}
 	}
-	return nil
+	if router, ok := decoded.Router.Get(); ok {
+		f.routers[key] = router.VM
+		e.routers = append(e.routers, router)
+	}
 }
 
-func (f *Follower) removeRow(now time.Time, key rowKey) []amaranthtide.BackendServerName {
+func (f *Follower) removeRow(now time.Time, key rowKey, e *effects) {
+	if vm, ok := f.routers[key]; ok {
+		delete(f.routers, key)
+		e.goneRouters = append(e.goneRouters, vm)
+	}
 	if zone, ok := f.outZones[key]; ok {
 		delete(f.outZones, key)
 		f.serverList.ZoneReturned(now, zone)
@@ -42,15 +58,14 @@
 	}
 	name, ok := f.serverNames[key]
 	if !ok {
-		return nil
+		return
 	}
 	removed := f.serverList.Remove(now, name)
 	f.opts.Logger.Info("server unlisted", "server", name, "gone", removed)
-	if !removed {
-		return nil
+	if removed {
+		delete(f.serverNames, key)
+		e.goneServers = append(e.goneServers, name)
 	}
-	delete(f.serverNames, key)
-	return []amaranthtide.BackendServerName{name}
 }
 
 // publishServers stores the listed servers and the zones out of service in
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -27,6 +27,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/choice"
+	"amaranthtide/coordination/reading"
 	"amaranthtide/coordination/retry/shared"
 	"amaranthtide/state/declared"
 	"amaranthtide/state/feed"
@@ -55,6 +56,8 @@
 	// drainShare is the part of the grace period after which requests in flight are
 	// aborted.
 	drainShare = 0.94
+	// followedTables is the number of tables of the platform's feed that a router follows.
+	followedTables = 3
 )
 
 // Options configure a Gateway. All but Seeds, MetricsListen, DroppedLogLines and Logger
@@ -81,8 +84,10 @@
 	RetryLimit shared.Limit
 	// DeclaredTable is the table that operators edit.
 	DeclaredTable amaranthtide.FeedTable
-	// RelayedTable is the table of backend servers, which routers relay to each other.
-	RelayedTable amaranthtide.FeedTable
+	// PolledTable is the table of backend servers.
+	PolledTable amaranthtide.FeedTable
+	// ChangeBound is the time within which a change of the feed must be in force.
+	ChangeBound time.Duration
 	// RegistryTable is the table of routers.
 	RegistryTable amaranthtide.FeedTable
 	Feed          amaranthtide.Feed
@@ -133,6 +138,9 @@
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
+	if opts.ChangeBound <= 0 {
+		return nil, amaranthtide.Errorf(amaranthtide.KindInternal, "gateway: ChangeBound is %v, want a positive duration", opts.ChangeBound)
+	}
 	g := &Gateway{opts: opts, configuration: declared.New(), servers: servers.New()}
 	g.grace.Store(int64(opts.Grace))
 	var err error
@@ -161,13 +169,14 @@
 		AttemptSender: opts.NewAttemptSender(trafficCounter), Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
-		Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.DeclaredTable, opts.RelayedTable}, RelayedTable: opts.RelayedTable, Relay: g.relay, ReaderRank: g.readerRank, Rows: feedTables, Configuration: g.configuration,
-		Servers: g.servers, Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), Logger: logger.Named("follow"),
+		Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.PolledTable, opts.DeclaredTable, opts.RegistryTable}, PolledTable: opts.PolledTable,
+		BatchedTables: []amaranthtide.FeedTable{opts.PolledTable, opts.RegistryTable}, Rows: feedTables, Configuration: g.configuration, Servers: g.servers, Schedule: reading.NewSchedule(opts.ChangeBound), Position: g.position, Relay: g.relay,
+		Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), OnRoutersChanged: g.applyRegistry, Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
-		Traffic: trafficCounter, Follower: g.follower, Rows: feedTables, RelayedTable: opts.RelayedTable, DeclaredTable: opts.DeclaredTable, Registry: opts.Feed, RegistryTable: opts.RegistryTable,
-		Registrar: opts.Registrar, Decoder: opts.Decoder, OnRoutersChanged: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
+		Traffic: trafficCounter, Follower: g.follower, Rows: feedTables, PolledTable: opts.PolledTable, DeclaredTable: opts.DeclaredTable, RegistryTable: opts.RegistryTable,
+		Registrar: opts.Registrar, OnRoutersChanged: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
 	})
 	if err := g.peers.Start(); err != nil {
 		return err
@@ -198,7 +207,9 @@
 	}{
 		"amaranthtide.configuration.revision": {"Revision of the configuration in force.", func() int64 { return int64(g.configuration.Revision()) }},
 		"amaranthtide.servers":                {"Backend servers that may get work.", func() int64 { return int64(g.servers.Len()) }},
-		"amaranthtide.feeds.away":             {"Tables of the platform's feed that can't be read.", func() int64 { return int64(len(g.follower.UnavailableTables(time.Now()))) }},
+		"amaranthtide.feeds.away":             {"Tables of the platform's feed that can't be read.", func() int64 { return g.unreadableTables(time.Now()) }},
+		"amaranthtide.feed.view.age":          {"Milliseconds since the platform's feed last confirmed this router's view; -1 if it never has.", func() int64 { return g.viewAgeMillis(time.Now()) }},
+		"amaranthtide.feed.reading":           {"1 if this router reads the platform's feed and the feed answers.", func() int64 { return g.reading(time.Now()) }},
 		"amaranthtide.routers.trusted":        {"Other routers of the zone that leave no question unanswered.", func() int64 { return int64(g.peers.ResponsivePeers(time.Now())) }},
 	}
 	for name, gauge := range gauges {
@@ -213,6 +224,30 @@
 	return g.meter.Counter("amaranthtide.log.dropped", "Log lines that were dropped.", func() int64 { return int64(g.opts.DroppedLogLines()) })
 }
 
+func (g *Gateway) viewAgeMillis(now time.Time) int64 {
+	age, ok := g.follower.ViewAge(now).Get()
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+func (g *Gateway) reading(now time.Time) int64 {
+	if g.follower.Reading(now) {
+		return 1
+	}
+	return 0
+}
+
+// unreadableTables returns the number of tables that neither this router nor another one
+// that reaches it can read.
+func (g *Gateway) unreadableTables(now time.Time) int64 {
+	if g.follower.Stale(now) {
+		return followedTables
+	}
+	return 0
+}
+
 func (g *Gateway) retriesLeft() map[string]float64 {
 	left := make(map[string]float64)
 	for service, n := range g.dispatcher.RetriesLeft(time.Now()) {
@@ -245,15 +280,20 @@
 	}
 }
 
-// relay forwards a page of the feed to other routers. The follower calls it instead of
+// relay forwards changes of the feed to other routers. The follower calls it instead of
 // peers.Exchange.Relay, since the follower is created before the exchange.
-func (g *Gateway) relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
-	g.peers.Relay(after, page)
+func (g *Gateway) relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage) {
+	g.peers.Relay(table, after, page)
 }
 
-// readerRank returns this router's rank among the readers of the feed. Like relay, it is
+// position returns this router's position among the readers of the feed. Like relay, it is
 // passed to the follower before the exchange exists.
-func (g *Gateway) readerRank(now time.Time) int { return g.peers.ReaderRank(now) }
+func (g *Gateway) position(now time.Time) reading.Position { return g.peers.Position(now) }
+
+// applyRegistry passes changes of the registry to the exchange, like relay.
+func (g *Gateway) applyRegistry(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName) {
+	g.peers.ApplyRegistry(now, registered, removed)
+}
 
 // readiness serves the readiness check of the load balancer.
 func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -3,6 +3,10 @@
 // each backend server. Routers that can't read the platform's feed get its rows from
 // routers that can.
 //
+// Rows are pushed by the router that reads the feed, and requested by the others from time
+// to time, which recovers rows that were lost and shows whether the reader can still read
+// the feed.
+//
 // Load reports are aggregated along a tree, so that the number of messages per router does
 // not grow with the fleet. The routers of a zone report to the zone's hub: the first
 // responsive router in an order that all routers compute alike. Hubs exchange the sums of
@@ -10,15 +14,14 @@
 // whose hub doesn't answer its reports switches to the next router in that order and probes
 // the unresponsive one from time to time.
 //
-// Routers are discovered through the platform's registry, the settings and the messages
-// that they send.
+// Routers are discovered through the registry, which is a table of the feed, through the
+// settings and through the messages that they send.
 //
 // # Usage
 //
 //	e := peers.New(peers.Options{Self: entry, Incarnation: inc, Mesh: m, Traffic: t,
-//		Follower: f, Rows: rows, RelayedTable: "listing", DeclaredTable: "operator",
-//		Registry: store, RegistryTable: "routers", Registrar: store, Decoder: reader,
-//		OnRoutersChanged: d.SetRouters})
+//		Follower: f, Rows: rows, PolledTable: "listing", DeclaredTable: "operator",
+//		RegistryTable: "routers", Registrar: store, OnRoutersChanged: d.SetRouters})
 //	if err := e.Start(); err != nil {
 //		return err
 //	}
@@ -45,9 +48,11 @@
 const (
 	// tickInterval is how often a router checks whether messages are due.
 	tickInterval = 250 * time.Millisecond
-	// requestInterval is how often a router that can't read the feed requests rows from
-	// another router.
-	requestInterval = 500 * time.Millisecond
+	// requestInterval is how often a router that doesn't read the feed requests rows from
+	// another router, in case that some were lost. staleRequestInterval is the same for a
+	// router whose view is stale.
+	requestInterval      = time.Second
+	staleRequestInterval = 500 * time.Millisecond
 	// answerTimeout is how long a router waits for requested rows of a table before it
 	// requests them from another router.
 	answerTimeout = 1500 * time.Millisecond
@@ -56,6 +61,9 @@
 	// forgetAge is the age of the last message after which an unregistered router is
 	// removed.
 	forgetAge = time.Minute
+	// minViewProgress is how much newer than the last one a view must be that is relayed to
+	// the zone without rows: answers to requests confirm the view that was pushed before.
+	minViewProgress = 100 * time.Millisecond
 )
 
 // Mesh is the part of transport/mesh that an Exchange uses.
@@ -66,13 +74,17 @@
 
 // Follower reports the state of the feed and applies rows received from other routers.
 type Follower interface {
-	UnavailableTables(now time.Time) []amaranthtide.FeedTable
-	Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage)
-	ObservePeerRead(now time.Time, table amaranthtide.FeedTable)
+	// ApplyFromPeer applies rows of a router with a view of the given age.
+	// It returns the rows that changed.
+	ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, viewAge amaranthtide.Option[time.Duration]) []amaranthtide.FeedRow
+	// ViewAge returns the time since the feed last confirmed this router's view.
+	ViewAge(now time.Time) amaranthtide.Option[time.Duration]
 	// Behind reports whether this router should have received a row of that version by now.
 	Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool
-	// Reading reports whether this router currently reads the table from the feed.
-	Reading(now time.Time, table amaranthtide.FeedTable) bool
+	// Reading reports whether this router reads the feed and the feed answers.
+	Reading(now time.Time) bool
+	// Stale reports whether rows should be requested from any router that may have them.
+	Stale(now time.Time) bool
 }
 
 // Options are the dependencies and settings of an Exchange. All but Seeds and Logger are
@@ -86,16 +98,12 @@
 	Traffic  *traffic.Counter
 	Follower Follower
 	Rows     *feed.Tables
-	// RelayedTable is the table that each zone's readers forward to the other routers.
-	// DeclaredTable is the operators' table, which all routers follow.
-	RelayedTable  amaranthtide.FeedTable
+	// PolledTable is the table that lists the servers, DeclaredTable the operators' table,
+	// RegistryTable the table of routers.
+	PolledTable   amaranthtide.FeedTable
 	DeclaredTable amaranthtide.FeedTable
-	// Registry is the feed that holds the table of routers, RegistryTable the name of that
-	// table.
-	Registry      amaranthtide.Feed
 	RegistryTable amaranthtide.FeedTable
 	Registrar     amaranthtide.Registrar
-	Decoder       amaranthtide.RowDecoder
 	// OnRoutersChanged is called with all known routers whenever the set may have changed.
 	OnRoutersChanged func([]amaranthtide.VMName)
 	Logger           hclog.Logger
@@ -122,10 +130,8 @@
 	// of other zones as reported by that hub.
 	hub        amaranthtide.VMName
 	remoteHubs []amaranthtide.VMName
-	// registryVersion is the newest version read from the table of routers,
-	// newestRegistryVersion the newest one that another router reported.
-	registryVersion       amaranthtide.RowVersion
-	newestRegistryVersion amaranthtide.RowVersion
+	// registeredEntry is this router's entry in the registry.
+	registeredEntry amaranthtide.RouterEntry
 
 	rowsRequestedAt time.Time
 	// pendingRequests holds the time of each table's unanswered request for rows.
@@ -134,11 +140,12 @@
 	// which rows are requested and, in zones whose hub is unknown, the routers to which
 	// this zone's loads are sent.
 	rotation int
-	// registryRead is set once the registry has been read.
-	registryRead bool
-	// registryStale holds a token while another router knows a newer version of the
-	// registry.
-	registryStale chan struct{}
+	// relayedView is the newest view that this router has relayed from another zone.
+	relayedView time.Time
+	// viewSource is the router of another zone that last relayed the feed to this one, at
+	// viewSourceAt.
+	viewSource   amaranthtide.VMName
+	viewSourceAt time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -152,7 +159,7 @@
 	}
 	e := &Exchange{
 		opts: opts, routers: make(map[amaranthtide.VMName]router), detector: suspicion.New(),
-		pendingRequests: make(map[amaranthtide.FeedTable]time.Time), registryStale: make(chan struct{}, 1),
+		pendingRequests: make(map[amaranthtide.FeedTable]time.Time),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
@@ -173,8 +180,9 @@
 		}
 		e.wg.Go(func() { e.loop(messages, handle) })
 	}
+	e.requestTables(time.Now(), e.seedAddresses())
 	e.wg.Go(e.run)
-	e.wg.Go(e.syncRegistry)
+	e.wg.Go(e.keepRegistered)
 	return nil
 }
 
@@ -204,6 +212,7 @@
 			e.sendTotals(now)
 			e.sendZoneLoads(now)
 			e.requestRows(now)
+			e.forgetRouters(now)
 			e.opts.Traffic.Forget(now.Add(-forgetAge))
 		}
 	}
--- a/transport/peers/loads.go
+++ b/transport/peers/loads.go
@@ -36,13 +36,13 @@
 	e.sequence++
 	return amaranthtide.LoadReport{
 		From: e.opts.Self, Incarnation: e.opts.Incarnation, Sequence: e.sequence,
-		DeclaredVersion: e.opts.Rows.MaxRowVersion(e.opts.DeclaredTable), RegistryVersion: e.registryVersion, Loads: loads,
+		DeclaredVersion: e.opts.Rows.MaxRowVersion(e.opts.DeclaredTable), RegistryVersion: e.opts.Rows.MaxRowVersion(e.opts.RegistryTable), Loads: loads,
 	}
 }
 
 // sendReport sends the hub the loads of this router and of those that report to it, if the
 // loads have changed or the last report is older than heartbeatInterval. Until the registry
-// has been read, the report also goes to the seeds. Suspected routers are probed from time
+// has this router's entry, the report also goes to the seeds. Suspected routers are probed from time
 // to time with a report without loads.
 func (e *Exchange) sendReport(now time.Time) {
 	loads := e.opts.Traffic.SubtreeLoads(now)
@@ -59,7 +59,7 @@
 	}
 	e.report, e.reportSentAt = report, now
 	to := e.addresses(hub)
-	if !e.registryRead {
+	if e.registeredEntry != e.opts.Self {
 		to = append(to, e.seedAddresses()...)
 	}
 	if hub != e.opts.Self.VM {
@@ -191,7 +191,7 @@
 	// Until the registry has been read, the known routers may be a fraction of the fleet,
 	// so they are not reported to OnRoutersChanged.
 	var names []amaranthtide.VMName
-	if !known && e.registryRead {
+	if !known && e.registryKnown() {
 		names = e.routerNames()
 	}
 	e.mu.Unlock()
@@ -201,9 +201,11 @@
 	if names != nil {
 		e.opts.OnRoutersChanged(names)
 	}
-	e.observeRegistryVersion(r.RegistryVersion)
-	if e.opts.Follower.Behind(now, e.opts.DeclaredTable, r.DeclaredVersion) {
-		e.requestTable(e.opts.DeclaredTable, r.From.Address)
+	newest := map[amaranthtide.FeedTable]amaranthtide.RowVersion{e.opts.DeclaredTable: r.DeclaredVersion, e.opts.RegistryTable: r.RegistryVersion}
+	for table, version := range newest {
+		if e.opts.Follower.Behind(now, table, version) {
+			e.requestRowsOf([]netip.AddrPort{r.From.Address}, table)
+		}
 	}
 	return r, true
 }
--- a/transport/peers/registry.go
+++ b/transport/peers/registry.go
@@ -7,96 +7,58 @@
 )
 
 const (
-	// registryInterval is how often the registry is read if no router reports a newer
-	// version.
-	registryInterval      = time.Minute
-	registryRetryInterval = time.Second
-	// registryBatchDelay is the pause before the registry is read again, so that one read
-	// covers the entries of routers that start at the same time.
-	registryBatchDelay = time.Second
+	// registrationCheckInterval is how often a router checks that the registry has its entry.
+	registrationCheckInterval = 500 * time.Millisecond
+	// registrationInterval is the shortest time between two writes of the entry. The feed
+	// shows the entry well before its end.
+	registrationInterval = 5 * time.Second
 )
 
-// syncRegistry keeps this router's entry registered and reads the entries of the others.
-func (e *Exchange) syncRegistry() {
+// keepRegistered writes this router's entry to the registry whenever the registry is known
+// and lacks it.
+func (e *Exchange) keepRegistered() {
 	for e.ctx.Err() == nil {
-		registered, err := e.readRegistry()
-		switch {
-		case err != nil:
-			e.opts.Logger.Debug("registry of routers unavailable", "error", err)
-			e.sleep(registryRetryInterval)
-		case !registered:
-			e.sleep(registryBatchDelay)
-		default:
-			e.awaitRegistryChange(registryInterval)
-			e.sleep(registryBatchDelay)
+		if !e.registrationMissing() {
+			e.sleep(registrationCheckInterval)
+			continue
+		}
+		if err := e.opts.Registrar.Register(e.ctx, e.opts.Self); err != nil {
+			e.opts.Logger.Warn("registration of this router failed", "error", err)
+			e.sleep(registrationCheckInterval)
+			continue
 		}
+		e.sleep(registrationInterval)
 	}
 }
 
-// readRegistry reads the registry. If this router's entry is missing, it registers the
-// entry and returns false, since the registry then has to be read again.
-func (e *Exchange) readRegistry() (registered bool, err error) {
-	page, err := e.opts.Registry.Next(e.ctx, e.opts.RegistryTable, amaranthtide.None[amaranthtide.RowVersion](), 0)
-	if err != nil {
-		return false, err
-	}
-	if e.applyRegistry(time.Now(), page) {
-		return true, nil
-	}
-	return false, e.opts.Registrar.Register(e.ctx, e.opts.Self)
+func (e *Exchange) registrationMissing() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.registryKnown() && e.registeredEntry != e.opts.Self
 }
 
-func (e *Exchange) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-e.ctx.Done():
-	}
+// registryKnown reports whether this router has the table of routers. Until then the known
+// routers may be a fraction of the fleet.
+func (e *Exchange) registryKnown() bool {
+	_, known := e.opts.Rows.Version(e.opts.RegistryTable).Get()
+	return known
 }
 
-// awaitRegistryChange waits until another router reports a newer version of the registry,
-// at most for the given timeout.
-func (e *Exchange) awaitRegistryChange(timeout time.Duration) {
-	timer := time.NewTimer(timeout)
+func (e *Exchange) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-e.registryStale:
 	case <-timer.C:
 	case <-e.ctx.Done():
 	}
 }
 
-// observeRegistryVersion handles the registry version that another router reports, and
-// wakes syncRegistry if it is newer than all known ones.
-func (e *Exchange) observeRegistryVersion(version amaranthtide.RowVersion) {
+// ApplyRegistry updates the known routers from changes of the registry.
+func (e *Exchange) ApplyRegistry(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName) {
 	e.mu.Lock()
-	isNewer := version > max(e.registryVersion, e.newestRegistryVersion)
-	e.newestRegistryVersion = max(e.newestRegistryVersion, version)
-	e.mu.Unlock()
-	if !isNewer {
-		return
-	}
-	select {
-	case e.registryStale <- struct{}{}:
-	default:
-	}
-}
-
-// applyRegistry updates the known routers from the registry and reports whether it has the
-// entry of this router.
-func (e *Exchange) applyRegistry(now time.Time, page amaranthtide.FeedPage) (registered bool) {
-	e.mu.Lock()
-	for _, row := range page.Rows {
-		decoded, err := e.opts.Decoder.Decode(now, row)
-		entry, ok := decoded.Router.Get()
-		if err != nil || !ok {
-			e.opts.Logger.Warn("unreadable registry entry skipped", "key", row.Key, "error", err)
-			continue
-		}
-		e.registryVersion = max(e.registryVersion, row.Version)
+	for _, entry := range registered {
 		if entry.VM == e.opts.Self.VM {
-			registered = entry == e.opts.Self
+			e.registeredEntry = entry
 			continue
 		}
 		r := e.routers[entry.VM]
@@ -106,21 +68,41 @@
 		}
 		e.routers[entry.VM] = r
 	}
+	for _, vm := range removed {
+		e.removeRegistration(vm)
+	}
+	names := e.routerNames()
+	e.mu.Unlock()
+	e.opts.OnRoutersChanged(names)
+}
+
+// removeRegistration records that the registry no longer has an entry. The caller holds mu.
+func (e *Exchange) removeRegistration(vm amaranthtide.VMName) {
+	if vm == e.opts.Self.VM {
+		e.registeredEntry = amaranthtide.RouterEntry{}
+		return
+	}
+	if r, ok := e.routers[vm]; ok {
+		r.registered = false
+		e.routers[vm] = r
+	}
+}
+
+// forgetRouters removes the routers that are not registered and have been silent for
+// forgetAge.
+func (e *Exchange) forgetRouters(now time.Time) {
+	e.mu.Lock()
+	forgotten := false
 	for name, r := range e.routers {
 		if !r.registered && now.Sub(r.lastMessageAt) > forgetAge {
 			delete(e.routers, name)
 			e.detector.MessageReceived(name)
-		}
-	}
-	e.registryRead = true
-	if e.newestRegistryVersion <= e.registryVersion { // this read covers the reported change
-		select {
-		case <-e.registryStale:
-		default:
+			forgotten = true
 		}
 	}
 	names := e.routerNames()
 	e.mu.Unlock()
-	e.opts.OnRoutersChanged(names)
-	return registered
+	if forgotten && e.registryKnown() {
+		e.opts.OnRoutersChanged(names)
+	}
 }
--- a/transport/peers/routers.go
+++ b/transport/peers/routers.go
@@ -7,16 +7,14 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/placement"
+	"amaranthtide/coordination/reading"
 )
 
 const (
-	// hubOrderSalt seeds the order that determines a zone's hub. It differs from the salt
-	// of the readers' order, so that both duties fall to different routers.
-	hubOrderSalt = "hub"
-	// readersPerZone is how many routers of a zone may read the relayed table from the
-	// feed. With two of them, the others get changes without delay while one is down or cut
-	// off from the platform.
-	readersPerZone = 2
+	// hubOrderSalt and readerOrderSalt seed the orders that determine a zone's hub and its
+	// readers. They differ, so that both duties fall to different routers.
+	hubOrderSalt    = "hub"
+	readerOrderSalt = "reader"
 	// maxHubReportsPerSecond limits the reports that a hub receives and the totals that it
 	// sends per second. Routers of larger zones report less often.
 	maxHubReportsPerSecond = 100
@@ -36,6 +34,8 @@
 	// sent those of its zone.
 	lastReportAt    time.Time
 	lastZoneLoadsAt time.Time
+	// lastRequestAt is when the router last requested rows.
+	lastRequestAt time.Time
 	// unsolicitedTotalsAt is when the router was last sent totals without reporting here.
 	unsolicitedTotalsAt time.Time
 }
@@ -50,18 +50,24 @@
 	return known
 }
 
-// observeAddress records a message from the router at the address, if it is known.
-func (e *Exchange) observeAddress(now time.Time, addr netip.AddrPort) {
+// observeAddress records a message from the router at the address, if it is known, and
+// returns its name. update, if not nil, updates the state of the router.
+func (e *Exchange) observeAddress(now time.Time, addr netip.AddrPort, update func(*router)) amaranthtide.VMName {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for name, r := range e.routers {
-		if r.addr == addr {
-			r.lastMessageAt = now
-			e.routers[name] = r
-			e.detector.MessageReceived(name)
-			return
+		if r.addr != addr {
+			continue
 		}
+		r.lastMessageAt = now
+		if update != nil {
+			update(&r)
+		}
+		e.routers[name] = r
+		e.detector.MessageReceived(name)
+		return name
 	}
+	return ""
 }
 
 // zoneRouters returns the routers of this zone, this router first. The caller holds mu.
@@ -120,18 +126,40 @@
 	return hub
 }
 
-// readers returns the routers of this zone that read the relayed table from the feed, in
-// order of precedence. The caller holds mu.
+// readers returns the readers of this zone in the order in which they take over. The caller
+// holds mu.
 func (e *Exchange) readers(now time.Time) []amaranthtide.VMName {
-	return placement.TopRouters(string(e.opts.RelayedTable), e.responsiveRouters(now), readersPerZone)
+	return placement.TopRouters(readerOrderSalt, e.responsiveRouters(now), reading.ReadersPerZone)
+}
+
+// zones returns the zones of all known routers, in the order in which their readers take
+// over. The caller holds mu.
+func (e *Exchange) zones() []amaranthtide.ZoneName {
+	zones := []amaranthtide.ZoneName{e.opts.Self.Zone}
+	for _, r := range e.routers {
+		if !slices.Contains(zones, r.zone) {
+			zones = append(zones, r.zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
 }
 
-// ReaderRank returns the position of this router among the readers of its zone, or -1 if it
-// is not a reader.
-func (e *Exchange) ReaderRank(now time.Time) int {
+// Position returns the position of this router in the order in which routers take over the
+// reading of the feed.
+func (e *Exchange) Position(now time.Time) reading.Position {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Index(e.readers(now), e.opts.Self.VM)
+	return e.position(now)
+}
+
+// position implements Position. The caller holds mu.
+func (e *Exchange) position(now time.Time) reading.Position {
+	return reading.Position{
+		Zone:        slices.Index(e.zones(), e.opts.Self.Zone),
+		Router:      slices.Index(e.readers(now), e.opts.Self.VM), // -1 is reading.NotReader
+		ZoneRouters: len(e.zoneRouters()),
+	}
 }
 
 // ResponsivePeers returns the number of other routers of the zone that are not suspected.
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -9,71 +9,87 @@
 	watermill "github.com/ThreeDotsLabs/watermill/message"
 
 	"amaranthtide"
+	"amaranthtide/coordination/placement"
+	"amaranthtide/coordination/reading"
 	"amaranthtide/protocol/message"
 	"amaranthtide/transport/mesh"
 )
 
-// requestRows requests the rows of tables whose feed is unavailable from one router, and
-// those of the relayed table from a reader of the zone unless this router reads it from the
-// feed.
+// requestRows requests the rows that this router may lack, unless it reads the feed itself.
+// A router whose view is stale requests them from any router that may have a newer view,
+// another one each time. Without any known router, it asks the seeds.
 func (e *Exchange) requestRows(now time.Time) {
-	unavailable := e.opts.Follower.UnavailableTables(now)
+	if e.opts.Follower.Reading(now) {
+		return
+	}
+	stale := e.opts.Follower.Stale(now)
+	interval := requestInterval
+	if stale {
+		interval = staleRequestInterval
+	}
 	e.mu.Lock()
-	if !due(now, e.rowsRequestedAt, requestInterval) {
+	if !due(now, e.rowsRequestedAt, interval) {
 		e.mu.Unlock()
 		return
 	}
 	e.rowsRequestedAt = now
 	e.rotation++
-	next := e.rotation
-	readers := slices.DeleteFunc(e.readers(now), func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
-	sources := e.rowSources(now, readers)
-	e.mu.Unlock()
-	for _, table := range unavailable {
-		if len(sources) == 0 || e.requestPending(now, table) {
-			continue
+	to := e.seedAddresses()
+	if sources := e.rowSources(now, stale); len(sources) > 0 {
+		source := sources[e.rotation%len(sources)]
+		to = e.addresses(source)
+		if e.routers[source].zone == e.opts.Self.Zone {
+			e.detector.RequestSent(now, source)
 		}
-		e.requestTable(table, sources[next%len(sources)])
-	}
-	// A standby reader requests rows too, since it may have missed some that the active
-	// reader has forwarded.
-	if len(readers) > 0 && !e.opts.Follower.Reading(now, e.opts.RelayedTable) && !slices.Contains(unavailable, e.opts.RelayedTable) {
-		e.requestFromReader(now, readers[next%len(readers)])
 	}
+	e.mu.Unlock()
+	e.requestTables(now, to)
 }
 
-// requestFromReader requests the rows of the relayed table from a reader of the zone.
-func (e *Exchange) requestFromReader(now time.Time, reader amaranthtide.VMName) {
-	e.mu.Lock()
-	e.detector.RequestSent(now, reader)
-	to := e.addresses(reader)
-	e.mu.Unlock()
-	for _, addr := range to {
-		e.requestTable(e.opts.RelayedTable, addr)
+// rowSources returns the routers from which to request rows: the readers of the zone. The
+// first of them requests rows from the router of an earlier zone that relays the feed to
+// it, or from the readers of the first zone, which thereby start to do so. If the view is stale, these are followed by the hubs
+// and a random router of the zone, since all readers may have lost the feed. The caller
+// holds mu.
+func (e *Exchange) rowSources(now time.Time, stale bool) []amaranthtide.VMName {
+	position := e.position(now)
+	names := e.readers(now)
+	if earlier := e.readersOfEarlierZones(); position.Router == 0 && len(earlier) > 0 {
+		names = earlier[:min(reading.ReadersPerZone, len(earlier))]
+		if now.Sub(e.viewSourceAt) <= liveAge {
+			names = []amaranthtide.VMName{e.viewSource}
+		}
+	}
+	if stale {
+		names = append(slices.Clone(e.readers(now)), e.readersOfEarlierZones()...)
+		names = append(names, e.currentHub(now))
+		names = append(names, e.remoteHubs...)
+		names = append(names, e.liveRemoteHubs(now)...)
+		responsive := e.responsiveRouters(now)
+		names = append(names, responsive[rand.N(len(responsive))])
+	}
+	names = slices.DeleteFunc(names, func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
+	if len(names) == 0 && stale {
+		names = slices.DeleteFunc(e.routerNames(), func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
 	}
+	return names
 }
 
-// rowSources returns the routers from which to request rows while the feed is unavailable:
-// the zone's readers and hub, the hubs of other zones and a random router of the zone,
-// since the others may have lost the feed as well. The caller holds mu.
-func (e *Exchange) rowSources(now time.Time, readers []amaranthtide.VMName) []netip.AddrPort {
-	names := append(slices.Clone(readers), e.currentHub(now))
-	names = append(names, e.remoteHubs...)
-	names = append(names, e.liveRemoteHubs(now)...)
-	responsive := e.responsiveRouters(now)
-	names = append(names, responsive[rand.N(len(responsive))])
-	if sources := e.addresses(names...); len(sources) > 0 {
-		return sources
-	}
-	if all := e.addresses(e.routerNames()...); len(all) > 0 {
-		return all
-	}
-	return e.seedAddresses()
+// requestTables requests the rows of all tables that are newer than the known ones. Tables
+// other than the polled one are left out while a request for them is unanswered: a large
+// document would be requested repeatedly while it is in transfer on a slow link.
+func (e *Exchange) requestTables(now time.Time, to []netip.AddrPort) {
+	tables := []amaranthtide.FeedTable{e.opts.PolledTable}
+	for _, table := range []amaranthtide.FeedTable{e.opts.DeclaredTable, e.opts.RegistryTable} {
+		if !e.requestPending(now, table) {
+			tables = append(tables, table)
+		}
+	}
+	e.requestRowsOf(to, tables...)
 }
 
 // requestPending reports whether a request for rows of the table is unanswered and has not
-// timed out; otherwise it records a new request. Without this check, a large document would
-// be requested repeatedly while it is in transfer on a slow link.
+// timed out; otherwise it records a new request.
 func (e *Exchange) requestPending(now time.Time, table amaranthtide.FeedTable) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -90,28 +106,41 @@
 	delete(e.pendingRequests, table)
 }
 
-// requestTable requests the rows of a table that are newer than the known ones.
-func (e *Exchange) requestTable(table amaranthtide.FeedTable, to netip.AddrPort) {
-	request := &message.RowsRequest{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))}
-	e.publish(message.TopicRowsRequest, request, []netip.AddrPort{to})
+// requestRowsOf requests the rows of tables that are newer than the known ones.
+func (e *Exchange) requestRowsOf(to []netip.AddrPort, tables ...amaranthtide.FeedTable) {
+	request := &message.RowsRequest{}
+	for _, table := range tables {
+		request.Tables = append(request.Tables, message.TableVersion{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))})
+	}
+	e.publish(message.TopicRowsRequest, request, to)
 }
 
-// Relay forwards a page of the relayed table, read after the given version, to the routers
-// of the zone if this router is one of the zone's readers. A page without rows tells them
-// that this router can read the table. A whole table is replaced by such a page, since its
-// size grows with the fleet: routers that lack rows request them.
-func (e *Exchange) Relay(after amaranthtide.RowVersion, page amaranthtide.FeedPage) {
+// Relay forwards changes that this router has read from the feed, after the given version,
+// to the routers of the zone and to the readers of later zones. A page without rows tells
+// them that this router can read the feed. The first page of a table is replaced by such a
+// page, since its size grows with the fleet: routers that lack rows request them.
+func (e *Exchange) Relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage) {
 	now := time.Now()
-	if page.Whole {
+	version, known := after.Get()
+	if !known {
 		page = amaranthtide.FeedPage{}
 	}
 	e.mu.Lock()
-	var to []netip.AddrPort
-	if slices.Contains(e.readers(now), e.opts.Self.VM) {
-		to = e.addresses(e.responsiveRouters(now)...)
-	}
+	to := e.relayTargets(now)
 	e.mu.Unlock()
-	e.publish(message.TopicRows, message.NewRows(e.opts.RelayedTable, after, page, true), to)
+	e.publish(message.TopicRows, message.NewRows(table, version, page, e.opts.Follower.ViewAge(now)), to)
+}
+
+// relayTargets returns the addresses of the routers of the zone and of the routers of other
+// zones that request rows from this one. The caller holds mu.
+func (e *Exchange) relayTargets(now time.Time) []netip.AddrPort {
+	to := e.addresses(e.responsiveRouters(now)...)
+	for name, r := range e.routers {
+		if r.zone != e.opts.Self.Zone && now.Sub(r.lastRequestAt) <= liveAge {
+			to = append(to, e.addresses(name)...)
+		}
+	}
+	return to
 }
 
 // handleRowsRequest answers a request for rows. It also answers if there is nothing new:
@@ -126,15 +155,20 @@
 		return
 	}
 	now := time.Now()
-	e.observeAddress(now, sender)
-	table, after := amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After)
-	page, _ := e.opts.Rows.Since(table, after) // has no rows if nothing is new
-	live := e.opts.Follower.Reading(now, table)
-	e.publish(message.TopicRows, message.NewRows(table, after, page, live), []netip.AddrPort{sender})
+	e.observeAddress(now, sender, func(r *router) { r.lastRequestAt = now })
+	viewAge := e.opts.Follower.ViewAge(now)
+	for i, requested := range m.Tables {
+		table, after := amaranthtide.FeedTable(requested.Table), amaranthtide.RowVersion(requested.After)
+		page, changed := e.opts.Rows.Since(table, after)
+		if i == 0 || changed {
+			answer := message.NewRows(table, after, page, viewAge)
+			answer.Answer = true
+			e.publish(message.TopicRows, answer, []netip.AddrPort{sender})
+		}
+	}
 }
 
-// handleRows applies rows received from another router, unless this router reads the table
-// from the feed.
+// handleRows applies rows received from another router.
 func (e *Exchange) handleRows(msg *watermill.Message) {
 	var m message.Rows
 	if !e.decode(msg, &m) {
@@ -142,29 +176,67 @@
 	}
 	now := time.Now()
 	sender, ok := e.senderAddress(msg)
-	if ok {
-		e.observeAddress(now, sender)
+	if !ok {
+		return
 	}
+	senderName := e.observeAddress(now, sender, nil)
 	table, page, err := m.ToDomain()
 	if err != nil {
-		e.opts.Logger.Warn("rows message dropped", "sender", msg.Metadata.Get(mesh.MetadataSender), "error", err)
+		e.opts.Logger.Warn("rows message dropped", "sender", sender, "error", err)
 		return
 	}
 	e.clearPendingRequest(table)
-	if m.SenderReadsFeed {
-		e.opts.Follower.ObservePeerRead(now, table)
-	}
-	if page.Version == 0 || e.opts.Follower.Reading(now, table) {
-		return
-	}
-	if known := e.opts.Rows.Version(table).Or(0); !page.Whole && amaranthtide.RowVersion(m.After) > known {
+	if known := e.opts.Rows.Version(table).Or(0); page.Version > 0 && !page.Whole && amaranthtide.RowVersion(m.After) > known {
 		// Changes before these rows were missed.
 		page.Version = known
-		if ok {
-			e.requestTable(table, sender)
-		}
+		e.requestRowsOf([]netip.AddrPort{sender}, table)
 	}
 	e.opts.Logger.Debug("rows received from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
 		"rows", len(page.Rows), "version", page.Version)
-	e.opts.Follower.Apply(now, table, page)
+	changed := e.opts.Follower.ApplyFromPeer(now, table, page, m.ViewAge())
+	e.relayFromOtherZone(now, senderName, &m, amaranthtide.FeedPage{Version: page.Version, Rows: changed})
+}
+
+// relayFromOtherZone forwards the changes of a message from another zone if this router is
+// the first reader of its zone. Messages that neither changed anything nor confirm a newer
+// view are not forwarded, which also keeps them from circulating.
+func (e *Exchange) relayFromOtherZone(now time.Time, sender amaranthtide.VMName, m *message.Rows, changes amaranthtide.FeedPage) {
+	e.mu.Lock()
+	r, known := e.routers[sender]
+	if !known || r.zone == e.opts.Self.Zone || e.position(now).Router != 0 {
+		e.mu.Unlock()
+		return
+	}
+	age, confirmed := m.ViewAge().Get()
+	isNewer := confirmed && now.Add(-age).Sub(e.relayedView) >= minViewProgress
+	if isNewer {
+		e.relayedView = now.Add(-age)
+		if !m.Answer {
+			e.viewSource, e.viewSourceAt = sender, now
+		}
+	}
+	if !isNewer && len(changes.Rows) == 0 {
+		e.mu.Unlock()
+		return
+	}
+	to := e.relayTargets(now)
+	e.mu.Unlock()
+	e.publish(message.TopicRows, message.NewRows(amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After), changes, m.ViewAge()), to)
+}
+
+// readersOfEarlierZones returns the routers that probably read the feed for the zones
+// before this one. Which of them respond is known only in their zones. The caller holds mu.
+func (e *Exchange) readersOfEarlierZones() []amaranthtide.VMName {
+	byZone := make(map[amaranthtide.ZoneName][]amaranthtide.VMName)
+	for name, r := range e.routers {
+		byZone[r.zone] = append(byZone[r.zone], name)
+	}
+	var out []amaranthtide.VMName
+	for _, zone := range e.zones() {
+		if zone == e.opts.Self.Zone {
+			break
+		}
+		out = append(out, placement.TopRouters(readerOrderSalt, byZone[zone], reading.ReadersPerZone)...)
+	}
+	return out
 }
