--- a/cmd/internal/explain/explain.go
+++ b/cmd/internal/explain/explain.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -58,15 +59,36 @@
 		return nil, 0, err
 	}
 	defer func() { _ = f.Close() }()
-	scanner := bufio.NewScanner(f)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		l, err := logline.Parse(scanner.Bytes())
+	r := bufio.NewReader(f)
+	for {
+		line, err := readLine(r)
+		if errors.Is(err, io.EOF) {
+			return lines, unparsed, nil
+		}
+		if err != nil {
+			return lines, unparsed, err
+		}
+		l, err := logline.Parse(line)
 		if err != nil {
 			unparsed++
 			continue
 		}
 		lines = append(lines, l)
 	}
-	return lines, unparsed, scanner.Err()
+}
+
+// readLine reads a line without its end. A line longer than maxLine is cut to that length,
+// so that it can't be parsed. The error is io.EOF after the last line.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, isPrefix, err := r.ReadLine()
+		if err != nil {
+			return nil, err
+		}
+		line = append(line, part[:min(len(part), maxLine-len(line))]...)
+		if !isPrefix {
+			return line, nil
+		}
+	}
 }
--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -21,6 +21,7 @@
 const (
 	dialTimeout     = 2 * time.Second
 	maxResponseSize = 256 << 20
+	maxHeaderSize   = 64 << 10
 )
 
 // client calls the HTTP API of the routers' consoles.
@@ -34,7 +35,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &client{routers: routers, token: token, http: &http.Client{
 		Timeout:   timeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext},
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderSize},
 	}}
 }
 
--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -57,6 +57,7 @@
 retrySlack = 100
 retryWindow = 10s
 memoryMegabytes = 200
+linkMegabits = 1000
 [log]
 level = info
 bytesPerSecond = 262144
--- a/feed.go
+++ b/feed.go
@@ -51,6 +51,9 @@
 	VM      VMName
 	Zone    ZoneName
 	Address netip.AddrPort
+	// LinkMegabits is the bandwidth of the VM's network link in Mbit/s; 0 is unknown. The
+	// routers with the fastest links send to the others of their zone.
+	LinkMegabits int
 }
 
 // RowDecoder decodes the rows of the platform's feed.
--- a/protocol/message/load_report.go
+++ b/protocol/message/load_report.go
@@ -15,6 +15,7 @@
 	RegistryVersion uint64
 	Hubs            []string
 	Loads           []ServerInFlight
+	LinkMegabits    uint32
 }
 
 // ServerInFlight is the number of requests in flight at one server in a LoadReport.
@@ -38,7 +39,7 @@
 	return &LoadReport{
 		VM: string(r.From.VM), Zone: string(r.From.Zone), Address: addressBytes(r.From.Address),
 		Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
-		DeclaredVersion: uint64(r.DeclaredVersion), RegistryVersion: uint64(r.RegistryVersion), Hubs: hubs, Loads: loads,
+		DeclaredVersion: uint64(r.DeclaredVersion), RegistryVersion: uint64(r.RegistryVersion), Hubs: hubs, Loads: loads, LinkMegabits: clampCount(r.From.LinkMegabits),
 	}
 }
 
@@ -57,7 +58,7 @@
 		loads[i] = amaranthtide.ServerLoad{Server: amaranthtide.BackendServerName(l.Server), InFlight: int(l.Count)}
 	}
 	return amaranthtide.LoadReport{
-		From:        amaranthtide.RouterEntry{VM: amaranthtide.VMName(m.VM), Zone: amaranthtide.ZoneName(m.Zone), Address: addr},
+		From:        amaranthtide.RouterEntry{VM: amaranthtide.VMName(m.VM), Zone: amaranthtide.ZoneName(m.Zone), Address: addr, LinkMegabits: int(m.LinkMegabits)},
 		Incarnation: amaranthtide.Incarnation(m.Incarnation), Sequence: m.Sequence,
 		DeclaredVersion: amaranthtide.RowVersion(m.DeclaredVersion), RegistryVersion: amaranthtide.RowVersion(m.RegistryVersion), Hubs: hubs, Loads: loads,
 	}, nil
--- a/request.go
+++ b/request.go
@@ -67,6 +67,10 @@
 	Server  BackendServerName
 	Status  int
 	Header  []HeaderField
+	// Unframed is set if the server announced neither a length nor an end: the end of its
+	// connection is the end of the answer. The caller gets it the same way, since a server
+	// that stopped halfway can't be told from one that has finished.
+	Unframed bool
 }
 
 // AnswerWriter receives one answer: one call of Head, then any number of calls of
--- a/state/declared/configuration.go
+++ b/state/declared/configuration.go
@@ -96,7 +96,8 @@
 // Match returns the rule of the host with the longest prefix of the path, and
 // false if there is none. A port in the host is ignored.
 func (s *Snapshot) Match(host, path string) (amaranthtide.Rule, bool) {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+	// The colons of an IPv6 literal are inside its brackets.
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
 		host = host[:i]
 	}
 	for _, r := range s.rules[strings.ToLower(host)] {
--- a/state/declared/configuration_test.go
+++ b/state/declared/configuration_test.go
@@ -37,6 +37,7 @@
 		{Name: "orders", Host: "a.example", Prefix: "/orders/"},
 		{Name: "new", Host: "a.example", Prefix: "/orders/new/"},
 		{Name: "other", Host: "b.example", Prefix: "/orders/"},
+		{Name: "literal", Host: "[2001:db8::1]", Prefix: "/"},
 	}})
 	s, _ := c.Current()
 	tests := []struct {
@@ -49,6 +50,8 @@
 		{"b.example", "/orders/new/1", "other"},
 		{"b.example", "/", ""},
 		{"c.example", "/orders/1", ""},
+		{"[2001:db8::1]", "/", "literal"},
+		{"[2001:db8::1]:8080", "/", "literal"},
 	}
 	for _, tt := range tests {
 		got, ok := s.Match(tt.host, tt.path)
--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -118,13 +118,9 @@
 	return a.w.Chunk(complete)
 }
 
-// flush passes on the bytes after the last event of a stream that ended cleanly.
-func (a *answer) flush() error {
-	if len(a.partialEvent) == 0 {
-		return nil
-	}
-	return a.w.Chunk(a.partialEvent)
-}
+// endsWithinEvent reports whether the current attempt has passed an incomplete event of a
+// resumable stream.
+func (a *answer) endsWithinEvent() bool { return len(a.partialEvent) > 0 }
 
 // writeDeferred passes the deferred failure to the caller.
 func (a *answer) writeDeferred() error {
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -54,7 +54,7 @@
 		r.answer.deferFailure = r.mayRepeat(1)
 		err = r.sendAttempt(ctx, in)
 		if err == nil {
-			return r.answer.flush()
+			return nil
 		}
 		if r.possibleRunErr == nil && amaranthtide.KindOf(err).Reply().Ran != amaranthtide.RanNo {
 			r.possibleRunErr = err
@@ -80,6 +80,9 @@
 	if err == nil && r.answer.deferring {
 		err = amaranthtide.Errorf(amaranthtide.KindBackendFailed, "server %s answered status %d", in.Name, r.answer.deferred.head.Status)
 	}
+	if err == nil && r.answer.endsWithinEvent() {
+		err = amaranthtide.Errorf(amaranthtide.KindTruncated, "stream of server %s ends within an event", in.Name)
+	}
 	now := time.Now()
 	kind := amaranthtide.KindOf(err)
 	// A missing answer does not show whether the zone can be reached.
--- a/transport/peers/loads.go
+++ b/transport/peers/loads.go
@@ -8,7 +8,6 @@
 	watermill "github.com/ThreeDotsLabs/watermill/message"
 
 	"amaranthtide"
-	"amaranthtide/coordination/placement"
 	"amaranthtide/protocol/message"
 	"amaranthtide/state/traffic"
 	"amaranthtide/transport/mesh"
@@ -158,7 +157,7 @@
 			out = append(out, e.addresses(liveHubs[zone]...)...)
 			continue
 		}
-		order := placement.TopRouters(hubOrderSalt, names, len(names))
+		order := e.topRouters(hubOrderSalt, names, len(names))
 		for i := range min(hubProbesPerZone, len(order)) {
 			out = append(out, e.addresses(order[(e.rotation+i)%len(order)])...)
 		}
--- a/transport/peers/registry.go
+++ b/transport/peers/registry.go
@@ -64,7 +64,7 @@
 		r := e.routers[entry.VM]
 		r.registered = true
 		if now.Sub(r.lastMessageAt) > liveAge {
-			r.addr, r.zone = entry.Address, entry.Zone
+			r.addr, r.zone, r.linkMegabits = entry.Address, entry.Zone, entry.LinkMegabits
 		}
 		e.routers[entry.VM] = r
 	}
--- a/transport/peers/routers.go
+++ b/transport/peers/routers.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -28,6 +29,7 @@
 type router struct {
 	addr          netip.AddrPort
 	zone          amaranthtide.ZoneName
+	linkMegabits  int
 	registered    bool
 	lastMessageAt time.Time
 	// lastReportAt is when the router last sent its loads, lastZoneLoadsAt when it last
@@ -44,7 +46,7 @@
 // known. The caller holds mu.
 func (e *Exchange) observeRouter(now time.Time, from amaranthtide.RouterEntry) (known bool) {
 	r, known := e.routers[from.VM]
-	r.addr, r.zone, r.lastMessageAt = from.Address, from.Zone, now
+	r.addr, r.zone, r.linkMegabits, r.lastMessageAt = from.Address, from.Zone, from.LinkMegabits, now
 	e.routers[from.VM] = r
 	e.detector.MessageReceived(from.VM)
 	return known
@@ -118,7 +120,7 @@
 
 // currentHub returns the hub of this zone, which may be this router. The caller holds mu.
 func (e *Exchange) currentHub(now time.Time) amaranthtide.VMName {
-	hub := placement.TopRouters(hubOrderSalt, e.responsiveRouters(now), 1)[0]
+	hub := e.topRouters(hubOrderSalt, e.responsiveRouters(now), 1)[0]
 	if hub != e.hub {
 		e.opts.Logger.Info("hub of the zone changed", "hub", hub, "before", e.hub)
 		e.hub = hub
@@ -126,10 +128,26 @@
 	return hub
 }
 
+// topRouters returns the first n of the given routers: those with the fastest links, and
+// among equal ones the first in the rendezvous order of the salt. The caller holds mu.
+func (e *Exchange) topRouters(salt string, names []amaranthtide.VMName, n int) []amaranthtide.VMName {
+	ranked := placement.TopRouters(salt, names, len(names))
+	slices.SortStableFunc(ranked, func(a, b amaranthtide.VMName) int { return cmp.Compare(e.linkMegabits(b), e.linkMegabits(a)) })
+	return ranked[:min(n, len(ranked))]
+}
+
+// linkMegabits returns the bandwidth of a router's link. The caller holds mu.
+func (e *Exchange) linkMegabits(vm amaranthtide.VMName) int {
+	if vm == e.opts.Self.VM {
+		return e.opts.Self.LinkMegabits
+	}
+	return e.routers[vm].linkMegabits
+}
+
 // readers returns the readers of this zone in the order in which they take over. The caller
 // holds mu.
 func (e *Exchange) readers(now time.Time) []amaranthtide.VMName {
-	return placement.TopRouters(readerOrderSalt, e.responsiveRouters(now), reading.ReadersPerZone)
+	return e.topRouters(readerOrderSalt, e.responsiveRouters(now), reading.ReadersPerZone)
 }
 
 // zones returns the zones of all known routers, in the order in which their readers take
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -9,7 +9,6 @@
 	watermill "github.com/ThreeDotsLabs/watermill/message"
 
 	"amaranthtide"
-	"amaranthtide/coordination/placement"
 	"amaranthtide/coordination/reading"
 	"amaranthtide/protocol/message"
 	"amaranthtide/transport/mesh"
@@ -236,7 +235,7 @@
 		if zone == e.opts.Self.Zone {
 			break
 		}
-		out = append(out, placement.TopRouters(readerOrderSalt, byZone[zone], reading.ReadersPerZone)...)
+		out = append(out, e.topRouters(readerOrderSalt, byZone[zone], reading.ReadersPerZone)...)
 	}
 	return out
 }
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -42,6 +42,8 @@
 	feedCalls      map[amaranthtide.FeedTable]int
 	registryWrites int
 	messages       int
+	// linkMegabits returns the link of the i-th router of a zone; nil is 0 for all.
+	linkMegabits func(i int) int
 	// bytes counts the bytes that each router has sent.
 	bytes map[amaranthtide.VMName]int
 }
@@ -176,6 +178,9 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, zone[0], 0, byte(i)}), 7000),
 		},
 	}
+	if f.linkMegabits != nil {
+		n.entry.LinkMegabits = f.linkMegabits(i)
+	}
 	rows := feed.New()
 	n.follow = follow.New(follow.Options{
 		Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, Rows: rows,
@@ -582,3 +587,35 @@
 		})
 	}
 }
+
+// Guards against a hub or a reader on a VM with a slow link while its zone has faster ones:
+// a document sent to 48 routers over 10 Mbit/s delayed later changes by up to 3.5 s.
+func TestDutiesFallToFastLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.linkMegabits = func(i int) int {
+			if i == 4 || i == 9 {
+				return 200
+			}
+			return 10
+		}
+		zones := startZones(t, f, "ab", 12)
+		defer closeAll(zones)
+		time.Sleep(6 * time.Second)
+		for _, nodes := range zones {
+			readers := 0
+			for _, n := range nodes {
+				if n.Position(time.Now()).Router == reading.NotReader {
+					continue
+				}
+				readers++
+				if n.entry.LinkMegabits != 200 {
+					t.Errorf("got: %s with %d Mbit/s is a reader, want: only VMs with 200 Mbit/s", n.entry.VM, n.entry.LinkMegabits)
+				}
+			}
+			if readers != 2 {
+				t.Errorf("got: %d readers, want: 2", readers)
+			}
+		}
+	})
+}
--- a/transport/sweep/sweeper.go
+++ b/transport/sweep/sweeper.go
@@ -98,7 +98,9 @@
 	tx, ok := claim.Sweep(now, rows, s.opts.Retention, amaranthtide.NewWriteToken()).Get()
 	if ok {
 		if _, err := s.opts.Table.Commit(s.ctx, tx); err != nil {
+			// The next sweep lists the same page again.
 			s.opts.Logger.Debug("failed to delete old claims", "error", err)
+			return
 		}
 		// The transaction is bounded: the next sweep continues after the last deleted row.
 		s.after = tx.Writes[len(tx.Writes)-1].Key
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -26,19 +26,28 @@
 	maxSkippedAnswers = 2
 	// maxSkippedBytes limits the body of a skipped answer.
 	maxSkippedBytes = 1 << 20
+	// maxHeadBytes limits the head of an answer, together with the informational answers
+	// before it.
+	maxHeadBytes = 64 << 10
 	// keepAliveShare is the part of the idle time announced by the server for which a
 	// connection is kept, so that it isn't used just as the server closes it.
 	keepAliveShare = 0.5
 )
 
-var errNoMatchingAnswer = errors.New("no answer on the connection matches the request")
+var (
+	errNoMatchingAnswer = errors.New("no answer on the connection matches the request")
+	errTooManyBytes     = errors.New("server sends more bytes than an answer may have")
+)
 
 // connection is one TCP connection to a backend server.
 type connection struct {
 	pool   *Pool
 	addr   netip.AddrPort
 	tcp    *net.TCPConn
+	source *boundedReader
 	reader *bufio.Reader
+	// requests counts the requests that were sent on the connection.
+	requests int
 	// lastUsed is the time at which the connection was opened or its last answer ended.
 	lastUsed time.Time
 	// expires is the time from which the idle connection isn't used any more.
@@ -56,7 +65,32 @@
 		_ = conn.Close()
 		return nil, amaranthtide.Errorf(amaranthtide.KindInternal, "connection to %v has type %T, want *net.TCPConn", addr, conn)
 	}
-	return &connection{pool: p, addr: addr, tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes), lastUsed: time.Now()}, nil
+	source := &boundedReader{Reader: tcp, remaining: unbounded}
+	return &connection{pool: p, addr: addr, tcp: tcp, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), lastUsed: time.Now()}, nil
+}
+
+// boundedReader fails once a number of bytes have been read. Whoever parses a head holds it
+// in memory as a whole, and a server may send one without end.
+type boundedReader struct {
+	io.Reader
+	// remaining is the number of bytes that may still be read, or unbounded.
+	remaining int
+}
+
+// unbounded is the boundedReader.remaining of a reader without a limit.
+const unbounded = -1
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.remaining == unbounded {
+		return r.Reader.Read(p)
+	}
+	if r.remaining == 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
 }
 
 func (c *connection) close() { _ = c.tcp.Close() }
@@ -70,6 +104,7 @@
 // exchange sends the request and reads the head of its answer. It reports whether a
 // byte may have been sent.
 func (c *connection) exchange(ctx context.Context, e Exchange) (resp *http.Response, sent bool, err error) {
+	c.requests++
 	stop := context.AfterFunc(ctx, c.close)
 	w := &requestWriter{conn: c, message: e.Message, done: make(chan struct{})}
 	if len(e.Message) <= syncWriteBytes {
@@ -99,6 +134,7 @@
 // few answers to other requests.
 func (c *connection) readHead(ctx context.Context, e Exchange) (*http.Response, error) {
 	req := &http.Request{Method: e.Method}
+	c.source.remaining = maxHeadBytes
 	for range maxSkippedAnswers + 1 {
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, exchangeError(ctx, amaranthtide.KindOutcomeUnknown, c.addr, err)
@@ -110,16 +146,32 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if e.Match(resp.StatusCode, resp.Header) {
+		if e.Match(resp.Header, c.requests == 1) {
+			c.source.remaining = unbounded
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
-			return nil, exchangeError(ctx, amaranthtide.KindOutcomeUnknown, c.addr, err)
+		if err := c.skip(ctx, resp); err != nil {
+			return nil, err
 		}
 	}
 	return nil, exchangeError(ctx, amaranthtide.KindBackendFailed, c.addr, errNoMatchingAnswer)
 }
 
+// skip reads the body of an answer to another request.
+func (c *connection) skip(ctx context.Context, resp *http.Response) error {
+	c.source.remaining = maxSkippedBytes
+	_, err := io.Copy(io.Discard, resp.Body)
+	c.source.remaining = maxHeadBytes
+	switch {
+	case errors.Is(err, errTooManyBytes):
+		return exchangeError(ctx, amaranthtide.KindBackendFailed, c.addr, err)
+	case err != nil:
+		return exchangeError(ctx, amaranthtide.KindOutcomeUnknown, c.addr, err)
+	default:
+		return nil
+	}
+}
+
 // announcedIdle returns how long to keep an idle connection according to the server's
 // Keep-Alive header, or 0 if it announces no timeout.
 func announcedIdle(h http.Header) time.Duration {
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -17,6 +17,9 @@
 //	}
 //	defer resp.Body.Close() // the connection is reused if the body was read to its end
 //
+// The head of an answer is limited to 64 KiB, an answer to another request to 1 MiB. Limits
+// for the body are up to the caller.
+//
 // A connection carries one request at a time. It is reused only if the request was
 // written and its answer ended cleanly, nothing followed the answer and the server did
 // not ask to close it. When a request is lost on a connection that had been idle,
@@ -148,8 +151,10 @@
 	Method string
 	// Message is the whole request in HTTP/1.1 encoding.
 	Message []byte
-	// Match reports whether an answer belongs to the request. Other answers are skipped.
-	Match func(status int, h http.Header) bool
+	// Match reports whether an answer with the given header belongs to the request. Other
+	// answers are skipped. first is set if the connection has carried no other request: any
+	// answer on it can only belong to this one.
+	Match func(h http.Header, first bool) bool
 }
 
 // Do sends the request once and returns the head of its answer. The caller must close
--- a/transport/upstream/pool_test.go
+++ b/transport/upstream/pool_test.go
@@ -72,7 +72,7 @@
 	return upstream.Exchange{
 		Addr: s.addr(), Method: http.MethodPost,
 		Message: []byte("POST / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"),
-		Match:   func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Match:   func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
