transport/peers, transport/follow: a notice shows which rows were missed; a router that takes over reads at once

Change: each message about the polled table names the newest rows of the other tables, and a receiver that lacks one requests it from the sender, per sender. A router that takes over polls without a wait first. A router that reads in place of an earlier one keeps asking for rows, so that it learns when that one is back (two readers had stayed active side by side), and of several routers that relay the feed to a zone the one of the earliest zone counts.

TestOneReaderServesTheFleet failed before with 42 calls in 10 s.

--- a/coordination/reading/schedule.go
+++ b/coordination/reading/schedule.go
@@ -66,6 +66,9 @@
 	ZoneRouters int
 }
 
+// IsFirst reports whether the router is the one that reads as long as it can.
+func (p Position) IsFirst() bool { return p.Zone == 0 && p.Router == 0 }
+
 // Schedule holds the times at which routers take over reading. Create one with
 // NewSchedule.
 type Schedule struct {
@@ -88,7 +91,7 @@
 	if p.Router == NotReader {
 		return viewAge > s.limit+delay
 	}
-	if p.Zone == 0 && p.Router == 0 {
+	if p.IsFirst() {
 		return true
 	}
 	before := p.Zone*ReadersPerZone + p.Router - 1 // standbys that take over earlier
--- a/protocol/message/rows.go
+++ b/protocol/message/rows.go
@@ -12,29 +12,33 @@
 
 // RowsRequest requests the rows of tables of the platform's feed that changed after
 // given versions. The first table is always answered, the others only if they have
-// changed.
+// changed. An unknown table has version 0.
 type RowsRequest struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
 
 	Tables []TableVersion
 }
 
-// TableVersion names a table and the version that a router has of it.
+// TableVersion names a table and a version of it.
 type TableVersion struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
 
-	Table string
-	After uint64
+	Table   string
+	Version uint64
 }
 
-// maxRequestedTables is the largest number of tables in one RowsRequest.
-const maxRequestedTables = 16
+// maxTables is the largest number of tables that one message names.
+const maxTables = 16
 
 func (m *RowsRequest) check() error {
-	if err := checkLength("tables", len(m.Tables), maxRequestedTables); err != nil {
+	return checkTableVersions(m.Tables)
+}
+
+func checkTableVersions(tables []TableVersion) error {
+	if err := checkLength("tables", len(tables), maxTables); err != nil {
 		return err
 	}
-	for _, t := range m.Tables {
+	for _, t := range tables {
 		if err := checkNames(t.Table); err != nil {
 			return err
 		}
@@ -59,6 +63,9 @@
 	// Answer is set if the message answers a request, rather than being sent by a router
 	// that relays the feed.
 	Answer bool
+	// Newest holds the versions of the newest rows that the sender has of other tables. A
+	// receiver that lacks one of them has missed it.
+	Newest []TableVersion
 	Rows   []FeedRow
 }
 
@@ -161,6 +168,9 @@
 	if err := checkNames(m.Table); err != nil {
 		return err
 	}
+	if err := checkTableVersions(m.Newest); err != nil {
+		return err
+	}
 	if err := checkLength("rows", len(m.Rows), MaxChanges); err != nil {
 		return err
 	}
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -200,12 +200,15 @@
 
 // pollLoop reads the polled table while this router must read the feed.
 func (f *Follower) pollLoop() {
+	wait := time.Duration(0)
 	for f.ctx.Err() == nil {
 		if !f.updateReading(time.Now()) {
+			wait = 0 // a router that takes over is behind by the age of its view
 			f.sleep(f.checkDelay(time.Now()))
 			continue
 		}
-		f.read(f.opts.PolledTable, f.opts.Schedule.Poll)
+		f.read(f.opts.PolledTable, wait)
+		wait = f.opts.Schedule.Poll
 	}
 }
 
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -134,8 +134,8 @@
 	registeredEntry amaranthtide.RouterEntry
 
 	rowsRequestedAt time.Time
-	// pendingRequests holds the time of each table's unanswered request for rows.
-	pendingRequests map[amaranthtide.FeedTable]time.Time
+	// pendingRequests holds the times of the unanswered requests for missed rows.
+	pendingRequests map[pendingRequest]time.Time
 	// rotation advances with each periodic request for rows. It selects the routers from
 	// which rows are requested and, in zones whose hub is unknown, the routers to which
 	// this zone's loads are sent.
@@ -159,7 +159,7 @@
 	}
 	e := &Exchange{
 		opts: opts, routers: make(map[amaranthtide.VMName]router), detector: suspicion.New(),
-		pendingRequests: make(map[amaranthtide.FeedTable]time.Time),
+		pendingRequests: make(map[pendingRequest]time.Time),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
@@ -180,7 +180,7 @@
 		}
 		e.wg.Go(func() { e.loop(messages, handle) })
 	}
-	e.requestTables(time.Now(), e.seedAddresses())
+	e.requestTables(e.seedAddresses())
 	e.wg.Go(e.run)
 	e.wg.Go(e.keepRegistered)
 	return nil
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -14,11 +15,13 @@
 	"amaranthtide/transport/mesh"
 )
 
-// requestRows requests the rows that this router may lack, unless it reads the feed itself.
-// A router whose view is stale requests them from any router that may have a newer view,
-// another one each time. Without any known router, it asks the seeds.
+// requestRows requests the rows that this router may lack, unless it is the first reader and
+// reads the feed. A router that has taken over from an earlier one requests them too, and
+// thereby learns when that one reads again. A router whose view is stale requests them from
+// any router that may have a newer view, another one each time. Without any known router,
+// it asks the seeds.
 func (e *Exchange) requestRows(now time.Time) {
-	if e.opts.Follower.Reading(now) {
+	if e.opts.Follower.Reading(now) && e.Position(now).IsFirst() {
 		return
 	}
 	stale := e.opts.Follower.Stale(now)
@@ -33,83 +36,130 @@
 	}
 	e.rowsRequestedAt = now
 	e.rotation++
-	to := e.seedAddresses()
-	if sources := e.rowSources(now, stale); len(sources) > 0 {
-		source := sources[e.rotation%len(sources)]
-		to = e.addresses(source)
+	sources := e.rowSources(now, stale)
+	for _, source := range sources {
 		if e.routers[source].zone == e.opts.Self.Zone {
 			e.detector.RequestSent(now, source)
 		}
 	}
+	to := e.addresses(sources...)
+	if len(sources) == 0 {
+		to = e.seedAddresses()
+	}
 	e.mu.Unlock()
-	e.requestTables(now, to)
+	e.requestTables(to)
 }
 
-// rowSources returns the routers from which to request rows: the readers of the zone. The
-// first of them requests rows from the router of an earlier zone that relays the feed to
-// it, or from the readers of the first zone, which thereby start to do so. If the view is stale, these are followed by the hubs
-// and a random router of the zone, since all readers may have lost the feed. The caller
-// holds mu.
+// rowSources returns the routers to request rows from. The caller holds mu.
 func (e *Exchange) rowSources(now time.Time, stale bool) []amaranthtide.VMName {
-	position := e.position(now)
-	names := e.readers(now)
-	if earlier := e.readersOfEarlierZones(); position.Router == 0 && len(earlier) > 0 {
-		names = earlier[:min(reading.ReadersPerZone, len(earlier))]
-		if now.Sub(e.viewSourceAt) <= liveAge {
-			names = []amaranthtide.VMName{e.viewSource}
-		}
-	}
 	if stale {
-		names = append(slices.Clone(e.readers(now)), e.readersOfEarlierZones()...)
-		names = append(names, e.currentHub(now))
-		names = append(names, e.remoteHubs...)
-		names = append(names, e.liveRemoteHubs(now)...)
-		responsive := e.responsiveRouters(now)
-		names = append(names, responsive[rand.N(len(responsive))])
+		return e.inTurn(e.possibleSources(now))
 	}
-	names = slices.DeleteFunc(names, func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
-	if len(names) == 0 && stale {
-		names = slices.DeleteFunc(e.routerNames(), func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
+	earlier := e.readersOfEarlierZones()
+	if e.position(now).Router != 0 || len(earlier) == 0 {
+		return e.inTurn(e.readers(now))
 	}
-	return names
+	// The readers of the first zone relay the feed to the routers that request rows. So does
+	// another router while these can't read it.
+	sources := e.inTurn(earlier[:min(reading.ReadersPerZone, len(earlier))])
+	if now.Sub(e.viewSourceAt) <= liveAge && !slices.Contains(sources, e.viewSource) {
+		sources = append(sources, e.viewSource)
+	}
+	return sources
 }
 
-// requestTables requests the rows of all tables that are newer than the known ones. Tables
-// other than the polled one are left out while a request for them is unanswered: a large
-// document would be requested repeatedly while it is in transfer on a slow link.
-func (e *Exchange) requestTables(now time.Time, to []netip.AddrPort) {
+// inTurn returns one of the routers other than this one, the next with each request. The
+// caller holds mu.
+func (e *Exchange) inTurn(names []amaranthtide.VMName) []amaranthtide.VMName {
+	names = slices.DeleteFunc(slices.Clone(names), func(vm amaranthtide.VMName) bool { return vm == e.opts.Self.VM })
+	if len(names) == 0 {
+		return nil
+	}
+	i := e.rotation % len(names)
+	return names[i : i+1]
+}
+
+// possibleSources returns the routers that may have a newer view than this one: the readers
+// of this and of earlier zones, the hubs, and a random router of the zone, since all others
+// may have lost the feed. The caller holds mu.
+func (e *Exchange) possibleSources(now time.Time) []amaranthtide.VMName {
+	names := append(slices.Clone(e.readers(now)), e.readersOfEarlierZones()...)
+	names = append(names, e.currentHub(now))
+	names = append(names, e.remoteHubs...)
+	names = append(names, e.liveRemoteHubs(now)...)
+	responsive := e.responsiveRouters(now)
+	names = append(names, responsive[rand.N(len(responsive))])
+	if slices.ContainsFunc(names, func(vm amaranthtide.VMName) bool { return vm != e.opts.Self.VM }) {
+		return names
+	}
+	return e.routerNames()
+}
+
+// requestTables requests the rows of the polled table that are newer than the known ones,
+// and those of tables that this router has nothing of. Other tables are requested when a
+// message shows that rows were missed.
+func (e *Exchange) requestTables(to []netip.AddrPort) {
 	tables := []amaranthtide.FeedTable{e.opts.PolledTable}
 	for _, table := range []amaranthtide.FeedTable{e.opts.DeclaredTable, e.opts.RegistryTable} {
-		if !e.requestPending(now, table) {
+		if _, known := e.opts.Rows.Version(table).Get(); !known {
 			tables = append(tables, table)
 		}
 	}
 	e.requestRowsOf(to, tables...)
 }
 
-// requestPending reports whether a request for rows of the table is unanswered and has not
-// timed out; otherwise it records a new request.
-func (e *Exchange) requestPending(now time.Time, table amaranthtide.FeedTable) bool {
+// requestMissed requests rows that the sender of a message has and this router lacks.
+func (e *Exchange) requestMissed(now time.Time, sender netip.AddrPort, newest []message.TableVersion) {
+	for _, n := range newest {
+		table := amaranthtide.FeedTable(n.Table)
+		if amaranthtide.RowVersion(n.Version) > e.opts.Rows.MaxRowVersion(table) && !e.requestPending(now, sender, table) {
+			e.requestRowsOf([]netip.AddrPort{sender}, table)
+		}
+	}
+}
+
+// pendingRequest identifies a request for the rows of a table.
+type pendingRequest struct {
+	to    netip.AddrPort
+	table amaranthtide.FeedTable
+}
+
+// requestPending reports whether a request to a router for rows of a table is unanswered
+// and has not timed out; otherwise it records a new request. Without this check, a large
+// document would be requested repeatedly while it is in transfer on a slow link.
+func (e *Exchange) requestPending(now time.Time, to netip.AddrPort, table amaranthtide.FeedTable) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if since, ok := e.pendingRequests[table]; ok && now.Sub(since) < answerTimeout {
+	maps.DeleteFunc(e.pendingRequests, func(_ pendingRequest, since time.Time) bool { return now.Sub(since) >= answerTimeout })
+	key := pendingRequest{to, table}
+	if _, pending := e.pendingRequests[key]; pending {
 		return true
 	}
-	e.pendingRequests[table] = now
+	e.pendingRequests[key] = now
 	return false
 }
 
-func (e *Exchange) clearPendingRequest(table amaranthtide.FeedTable) {
+func (e *Exchange) clearPendingRequest(from netip.AddrPort, table amaranthtide.FeedTable) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.pendingRequests, table)
+	delete(e.pendingRequests, pendingRequest{from, table})
+}
+
+// newestRows returns the versions of the newest rows that this router has of the tables
+// that are not polled.
+func (e *Exchange) newestRows() []message.TableVersion {
+	var newest []message.TableVersion
+	for _, table := range []amaranthtide.FeedTable{e.opts.DeclaredTable, e.opts.RegistryTable} {
+		newest = append(newest, message.TableVersion{Table: string(table), Version: uint64(e.opts.Rows.MaxRowVersion(table))})
+	}
+	return newest
 }
 
 // requestRowsOf requests the rows of tables that are newer than the known ones.
 func (e *Exchange) requestRowsOf(to []netip.AddrPort, tables ...amaranthtide.FeedTable) {
 	request := &message.RowsRequest{}
 	for _, table := range tables {
-		request.Tables = append(request.Tables, message.TableVersion{Table: string(table), After: uint64(e.opts.Rows.Version(table).Or(0))})
+		request.Tables = append(request.Tables, message.TableVersion{Table: string(table), Version: uint64(e.opts.Rows.Version(table).Or(0))})
 	}
 	e.publish(message.TopicRowsRequest, request, to)
 }
@@ -127,7 +177,9 @@
 	e.mu.Lock()
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	e.publish(message.TopicRows, message.NewRows(table, version, page, e.opts.Follower.ViewAge(now)), to)
+	m := message.NewRows(table, version, page, e.opts.Follower.ViewAge(now))
+	m.Newest = e.newestRows()
+	e.publish(message.TopicRows, m, to)
 }
 
 // relayTargets returns the addresses of the routers of the zone and of the routers of other
@@ -157,11 +209,11 @@
 	e.observeAddress(now, sender, func(r *router) { r.lastRequestAt = now })
 	viewAge := e.opts.Follower.ViewAge(now)
 	for i, requested := range m.Tables {
-		table, after := amaranthtide.FeedTable(requested.Table), amaranthtide.RowVersion(requested.After)
+		table, after := amaranthtide.FeedTable(requested.Table), amaranthtide.RowVersion(requested.Version)
 		page, changed := e.opts.Rows.Since(table, after)
 		if i == 0 || changed {
 			answer := message.NewRows(table, after, page, viewAge)
-			answer.Answer = true
+			answer.Answer, answer.Newest = true, e.newestRows()
 			e.publish(message.TopicRows, answer, []netip.AddrPort{sender})
 		}
 	}
@@ -184,7 +236,7 @@
 		e.opts.Logger.Warn("rows message dropped", "sender", sender, "error", err)
 		return
 	}
-	e.clearPendingRequest(table)
+	e.clearPendingRequest(sender, table)
 	if known := e.opts.Rows.Version(table).Or(0); page.Version > 0 && !page.Whole && amaranthtide.RowVersion(m.After) > known {
 		// Changes before these rows were missed.
 		page.Version = known
@@ -193,6 +245,7 @@
 	e.opts.Logger.Debug("rows received from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
 		"rows", len(page.Rows), "version", page.Version)
 	changed := e.opts.Follower.ApplyFromPeer(now, table, page, m.ViewAge())
+	e.requestMissed(now, sender, m.Newest)
 	e.relayFromOtherZone(now, senderName, &m, amaranthtide.FeedPage{Version: page.Version, Rows: changed})
 }
 
@@ -210,7 +263,7 @@
 	isNewer := confirmed && now.Add(-age).Sub(e.relayedView) >= minViewProgress
 	if isNewer {
 		e.relayedView = now.Add(-age)
-		if !m.Answer {
+		if !m.Answer && (now.Sub(e.viewSourceAt) > liveAge || r.zone <= e.routers[e.viewSource].zone) {
 			e.viewSource, e.viewSourceAt = sender, now
 		}
 	}
@@ -220,7 +273,9 @@
 	}
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	e.publish(message.TopicRows, message.NewRows(amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After), changes, m.ViewAge()), to)
+	relayed := message.NewRows(amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After), changes, m.ViewAge())
+	relayed.Newest = e.newestRows()
+	e.publish(message.TopicRows, relayed, to)
 }
 
 // readersOfEarlierZones returns the routers that probably read the feed for the zones
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -41,7 +41,7 @@
 
 const (
 	defaultDialTimeout = 200 * time.Millisecond
-	defaultMaxIdle     = 2 * time.Second
+	defaultMaxIdle     = 5 * time.Second
 	// maxIdlePerServer limits the idle connections to one server, since all routers share
 	// the number of connections that a server accepts.
 	maxIdlePerServer = 8
