coordination/reuse, transport/upstream: which idle connections carry a request is a decision of its own

And 140 routers could keep 8 idle connections each to servers that accept 1,050 in all.

Change: idle connections are kept and used for 5 s, by requests that may not be repeated only for the first 2 s, as before: one that is lost on a dead connection fails with an unknown outcome. A router keeps its part of half of the connections that the configuration gives a server. The decision and the record of losses left transport/upstream.

--- a/configuration.go
+++ b/configuration.go
@@ -71,6 +71,9 @@
 	ColdRequestsPerSecond float64
 	// Engine marks a service of model engines, which cache prompts in memory.
 	Engine bool
+	// Connections is the number of connections that each server accepts from all routers
+	// together; 0 is unknown.
+	Connections int
 }
 
 // Grant holds the workspace and the priority of a caller key.
--- a/instance.go
+++ b/instance.go
@@ -31,6 +31,8 @@
 	// FetchFrom is the address of a server that may have the prompt cached and from
 	// which Server can fetch it; the zero value means that there is none.
 	FetchFrom netip.AddrPort
+	// KeepIdle is the number of idle connections to the server to keep; 0 is the default.
+	KeepIdle int
 	// ResumeAfter is the identifier of the last event that the caller received; empty
 	// unless the attempt continues a stream.
 	ResumeAfter string
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -7,6 +7,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/outlier"
+	"amaranthtide/coordination/reuse"
 )
 
 const (
@@ -73,6 +74,7 @@
 	attempt := amaranthtide.Attempt{
 		Request: r.req, Server: in.Name, Address: in.Address, Deadline: r.req.Deadline, ResumeAfter: r.answer.lastEventID(),
 	}
+	attempt.KeepIdle = reuse.KeepCount(r.spec.Connections, int(r.dispatcher.routerCount.Load()))
 	if r.spec.Engine {
 		attempt.FetchFrom = r.dispatcher.promptSource(time.Now(), r.req, in)
 	}
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/coordination/reuse"
 	"amaranthtide/transport/internal/socket"
 )
 
@@ -29,9 +30,6 @@
 	// maxHeadBytes limits the head of an answer, together with the informational answers
 	// before it.
 	maxHeadBytes = 64 << 10
-	// keepAliveShare is the part of the idle time announced by the server for which a
-	// connection is kept, so that it isn't used just as the server closes it.
-	keepAliveShare = 0.5
 )
 
 var (
@@ -126,7 +124,7 @@
 		stop()
 		return nil, w.written > 0, err
 	}
-	resp.Body = &answerBody{ReadCloser: resp.Body, conn: c, writer: w, stopCancel: stop, reusable: !resp.Close, maxIdle: announcedIdle(resp.Header)}
+	resp.Body = &answerBody{ReadCloser: resp.Body, conn: c, writer: w, stopCancel: stop, reusable: !resp.Close, announcedIdle: announcedIdle(resp.Header), keepIdle: e.KeepIdle}
 	return resp, true, nil
 }
 
@@ -172,8 +170,8 @@
 	}
 }
 
-// announcedIdle returns how long to keep an idle connection according to the server's
-// Keep-Alive header, or 0 if it announces no timeout.
+// announcedIdle returns the idle timeout that the server's Keep-Alive header announces, or 0
+// if it announces none.
 func announcedIdle(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
@@ -182,7 +180,7 @@
 		}
 		seconds, err := strconv.Atoi(value)
 		if err == nil && seconds > 0 {
-			return time.Duration(keepAliveShare * float64(seconds) * float64(time.Second))
+			return time.Duration(seconds) * time.Second
 		}
 	}
 	return 0
@@ -224,8 +222,10 @@
 	stopCancel func() bool
 	// reusable is false if the server asked to close the connection.
 	reusable bool
-	// maxIdle is the idle time announced by the server; 0 is none.
-	maxIdle time.Duration
+	// announcedIdle is the idle time announced by the server; 0 is none. keepIdle is the
+	// number of idle connections to keep.
+	announcedIdle time.Duration
+	keepIdle      int
 	// complete tells whether the body was read to its end.
 	complete bool
 	closed   bool
@@ -250,12 +250,8 @@
 		<-b.writer.done
 		return nil
 	}
-	idle := b.conn.pool.opts.MaxIdle
-	if b.maxIdle > 0 {
-		idle = min(idle, b.maxIdle)
-	}
 	b.conn.lastUsed = time.Now()
-	b.conn.expires = b.conn.lastUsed.Add(idle)
-	b.conn.pool.release(b.conn)
+	b.conn.expires = b.conn.lastUsed.Add(reuse.KeepFor(b.announcedIdle))
+	b.conn.pool.release(b.conn, b.keepIdle)
 	return nil
 }
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -22,9 +22,7 @@
 //
 // A connection carries one request at a time. It is reused only if the request was
 // written and its answer ended cleanly, nothing followed the answer and the server did
-// not ask to close it. When a request is lost on a connection that had been idle,
-// connections that have been idle for at least half that time are not used for the next
-// 30 s.
+// not ask to close it. Package reuse decides which idle connections are kept and used.
 package upstream
 
 import (
@@ -36,33 +34,23 @@
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/coordination/reuse"
 	"amaranthtide/state/shard"
 )
 
 const (
 	defaultDialTimeout = 200 * time.Millisecond
-	defaultMaxIdle     = 5 * time.Second
-	// maxIdlePerServer limits the idle connections to one server, since all routers share
-	// the number of connections that a server accepts.
-	maxIdlePerServer = 8
+	// defaultKeepIdle is Exchange.KeepIdle if it is not set.
+	defaultKeepIdle = 8
 	// sweepInterval is the time between checks for expired idle connections.
 	sweepInterval = time.Second
-	// lossWindow is how long the idle time stays restricted after a request was lost on a
-	// connection that had been idle.
-	lossWindow = 30 * time.Second
-	// minLossIdle is the shortest idle time that restricts later ones. Resets after a
-	// shorter idle time have other causes.
-	minLossIdle = 50 * time.Millisecond
 )
 
-// Options are the settings of a Pool. Zero values mean the defaults.
+// Options are the settings of a Pool. The zero value means the defaults.
 type Options struct {
 	// DialTimeout limits the time to open a connection; 0 is 200 ms, which is many round
 	// trips between zones.
 	DialTimeout time.Duration
-	// MaxIdle is the idle time from which a connection isn't used any more; 0 is 2 s. A
-	// connection that was used recently is known to have a working path.
-	MaxIdle time.Duration
 }
 
 // Pool sends requests to backend servers and keeps idle connections to them. It is
@@ -74,12 +62,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	mu sync.Mutex
-	// shortestLossIdle is the shortest idle time after which a request was lost within
-	// lossWindow.
-	shortestLossIdle time.Duration
-	// lastLoss is the time of the latest such loss.
-	lastLoss time.Time
+	mu     sync.Mutex
+	policy reuse.Policy
 }
 
 // New returns a Pool without connections. Close it after use.
@@ -87,9 +71,6 @@
 	if opts.DialTimeout <= 0 {
 		opts.DialTimeout = defaultDialTimeout
 	}
-	if opts.MaxIdle <= 0 {
-		opts.MaxIdle = defaultMaxIdle
-	}
 	p := &Pool{opts: opts, idle: shard.New[netip.AddrPort, []*connection](), done: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	go p.run()
@@ -155,6 +136,11 @@
 	// answers are skipped. first is set if the connection has carried no other request: any
 	// answer on it can only belong to this one.
 	Match func(h http.Header, first bool) bool
+	// Repeatable tells whether a request that is lost may be sent again. Other requests use
+	// only connections that were in use recently.
+	Repeatable bool
+	// KeepIdle is the number of idle connections to the server that are kept; 0 is 8.
+	KeepIdle int
 }
 
 // Do sends the request once and returns the head of its answer. The caller must close
@@ -163,7 +149,7 @@
 // KindOutcomeUnknown in all other cases.
 func (p *Pool) Do(ctx context.Context, e Exchange) (*http.Response, error) {
 	for {
-		c, reused, err := p.acquire(ctx, e.Addr)
+		c, reused, err := p.acquire(ctx, e)
 		if err != nil {
 			return nil, err
 		}
@@ -185,42 +171,31 @@
 }
 
 // acquire returns an idle connection, or a new one if there is none.
-func (p *Pool) acquire(ctx context.Context, addr netip.AddrPort) (c *connection, reused bool, err error) {
+func (p *Pool) acquire(ctx context.Context, e Exchange) (c *connection, reused bool, err error) {
 	for {
-		c, ok := p.popIdle(addr)
+		c, ok := p.popIdle(e.Addr)
 		if !ok {
 			break
 		}
-		if now := time.Now(); now.Before(c.expires) && p.mayReuse(now, now.Sub(c.lastUsed)) && c.isUsable() {
+		if now := time.Now(); now.Before(c.expires) && p.mayReuse(now, now.Sub(c.lastUsed), e.Repeatable) && c.isUsable() {
 			return c, true, nil
 		}
 		c.close()
 	}
-	c, err = dial(ctx, p, addr)
+	c, err = dial(ctx, p, e.Addr)
 	return c, false, err
 }
 
-// recordLoss records that a request was lost on a connection that had been idle for the
-// given time. Servers may drop idle connections without closing them, and the next
-// request is lost.
 func (p *Pool) recordLoss(now time.Time, idle time.Duration) {
-	if idle < minLossIdle {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.lastLoss) > lossWindow || idle < p.shortestLossIdle {
-		p.shortestLossIdle = idle
-	}
-	p.lastLoss = now
+	p.policy.Lost(now, idle)
 }
 
-// mayReuse reports whether a connection that has been idle for the given time may be
-// used: after a loss only if that is less than half the idle time of the lost one.
-func (p *Pool) mayReuse(now time.Time, idle time.Duration) bool {
+func (p *Pool) mayReuse(now time.Time, idle time.Duration, repeatable bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastLoss.IsZero() || now.Sub(p.lastLoss) > lossWindow || idle < p.shortestLossIdle/2
+	return p.policy.MayUse(now, idle, repeatable)
 }
 
 func (p *Pool) popIdle(addr netip.AddrPort) (*connection, bool) {
@@ -238,14 +213,17 @@
 
 // release makes a connection available for the next request, or closes it if there are
 // enough idle ones.
-func (p *Pool) release(c *connection) {
+func (p *Pool) release(c *connection, keep int) {
+	if keep <= 0 {
+		keep = defaultKeepIdle
+	}
 	if p.ctx.Err() != nil {
 		c.close()
 		return
 	}
 	full := false
 	p.idle.Update(c.addr, func(all []*connection, _ bool) ([]*connection, bool) {
-		if len(all) >= maxIdlePerServer {
+		if len(all) >= keep {
 			full = true
 			return all, true
 		}
--- a/transport/upstream/pool_test.go
+++ b/transport/upstream/pool_test.go
@@ -78,7 +78,7 @@
 
 func newPool(t *testing.T) *upstream.Pool {
 	t.Helper()
-	p := upstream.New(upstream.Options{DialTimeout: 5 * time.Second, MaxIdle: time.Minute})
+	p := upstream.New(upstream.Options{DialTimeout: 5 * time.Second})
 	t.Cleanup(p.Close)
 	return p
 }
