--- a/transport/peers/routers.go
+++ b/transport/peers/routers.go
@@ -21,7 +21,7 @@
 	maxHubReportsPerSecond = 250
 	// A router is suspected once it has left a message unanswered for missedReports report
 	// intervals, and at least for minSuspicionTimeout.
-	minSuspicionTimeout = 1300 * time.Millisecond
+	minSuspicionTimeout = time.Second
 	missedReports       = 3
 )
 
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -153,6 +153,9 @@
 func (n *node) Decode(_ time.Time, row amaranthtide.FeedRow) (amaranthtide.DecodedRow, error) {
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
+	if row.Table != registryTable {
+		return amaranthtide.DecodedRow{}, nil
+	}
 	return amaranthtide.DecodedRow{Router: amaranthtide.Some(n.fleet.entries[row.Key])}, nil
 }
 
