--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -77,12 +77,9 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"amaranthtide"
 	"amaranthtide/coordination/placement"
 )
@@ -166,13 +163,6 @@
 	receivedAt time.Time
 }
 
-// Peer is another router and its address.
-type Peer struct {
-	Name    amaranthtide.VMName
-	Zone    amaranthtide.ZoneName
-	Address netip.AddrPort
-}
-
 // New returns the view of a router that starts now and sends its first report. The
 // next report follows after at most interval.
 func New(now time.Time, cfg Config, interval time.Duration) *View {
@@ -305,118 +295,6 @@
 	v.refresh(now)
 }
 
-func (v *View) isFresh(now time.Time, p *peer) bool {
-	return now.Sub(p.receivedAt) <= Suspicion(p.report.Interval)
-}
-
-// refresh recomputes whatever depends on the current time.
-func (v *View) refresh(now time.Time) {
-	if v.dirty || now.After(v.validUntil) {
-		v.recomputeLive(now)
-	}
-	if v.awaitingPeers && v.peersReported(now) {
-		v.awaitingPeers = false
-	}
-	if !v.agreed && v.checkAgreement(now) {
-		v.agreed = true
-		v.recentLive, v.selfWasAbsent = v.live, !v.isLive(v.cfg.Self)
-	}
-}
-
-func (v *View) recomputeLive(now time.Time) {
-	v.dirty, v.validUntil = false, now.Add(time.Hour)
-	var live []amaranthtide.VMName
-	if !v.leaving && !v.outOfService.Has(v.cfg.Self) && !v.zoneOutOfService {
-		live = append(live, v.cfg.Self)
-	}
-	for name, p := range v.peers {
-		if !v.isFresh(now, p) {
-			continue
-		}
-		if end := p.receivedAt.Add(Suspicion(p.report.Interval)); end.Before(v.validUntil) {
-			v.validUntil = end
-		}
-		if !p.report.Leaving && !v.outOfService.Has(name) && !v.zoneOutOfService {
-			live = append(live, name)
-		}
-	}
-	slices.Sort(live)
-	if v.hash != 0 && slices.Equal(live, v.live) {
-		return
-	}
-	v.live, v.hash = live, hashLive(live)
-	v.changedAt, v.agreed = now, false
-	v.recentLive = slices.Compact(slices.Sorted(slices.Values(slices.Concat(v.recentLive, live))))
-	v.selfWasAbsent = v.selfWasAbsent || !v.isLive(v.cfg.Self)
-}
-
-func hashLive(live []amaranthtide.VMName) amaranthtide.ViewHash {
-	var d xxhash.Digest
-	d.Reset()
-	for _, vm := range live {
-		_, _ = d.WriteString(string(vm)) // never fails
-		_, _ = d.WriteString("\n")       // not part of a name
-	}
-	return amaranthtide.ViewHash(d.Sum64())
-}
-
-func (v *View) isLive(vm amaranthtide.VMName) bool {
-	_, ok := slices.BinarySearch(v.live, vm)
-	return ok
-}
-
-// peersReported reports whether awaitingPeers may be cleared.
-func (v *View) peersReported(now time.Time) bool {
-	if now.Sub(v.lastTick) > Suspicion(v.interval) {
-		return false
-	}
-	if now.Sub(v.resumedAt) > Suspicion(v.interval) {
-		return true
-	}
-	for vm := range v.expectedPeers {
-		if p, ok := v.peers[vm]; !ok || !p.receivedAt.After(v.resumedAt) {
-			return false
-		}
-	}
-	return len(v.expectedPeers) > 0
-}
-
-// checkAgreement reports whether the view counts as agreed upon.
-func (v *View) checkAgreement(now time.Time) bool {
-	if v.awaitingPeers || v.paused(now) || now.Sub(v.resumedAt) < v.resumeDelay() {
-		return false
-	}
-	if now.Sub(v.changedAt) >= v.cfg.Grace {
-		return true
-	}
-	agreeing := 0
-	for _, p := range v.peers {
-		if !v.isFresh(now, p) || p.report.Leaving {
-			continue
-		}
-		if p.report.View != v.hash || p.report.Revision < v.revision {
-			return false
-		}
-		agreeing++
-	}
-	return agreeing > 0
-}
-
-func (v *View) paused(now time.Time) bool {
-	return now.Sub(v.lastTick) > Suspicion(v.interval)/2
-}
-
-// resumeDelay returns how long a router stays unsettled after it resumed. It is
-// derived from the longest interval of any peer, since the reports of that peer take
-// the longest to arrive.
-func (v *View) resumeDelay() time.Duration {
-	longest := v.interval
-	for _, p := range v.peers {
-		longest = max(longest, p.report.Interval)
-	}
-	return Suspicion(longest) / 2
-}
-
 // Live returns the routers of the view, sorted by name.
 func (v *View) Live(now time.Time) []amaranthtide.VMName {
 	v.refresh(now)
@@ -481,69 +359,3 @@
 	recentOwner, _ := placement.Owner(group, v.recentLive)
 	return !v.selfWasAbsent && recentOwner == v.cfg.Self
 }
-
-// Peers returns the other routers of this zone to send reports to, sorted by name:
-// seeds, listed routers and routers with a fresh report.
-func (v *View) Peers(now time.Time) []Peer { return v.knownPeers(now, v.cfg.Zone) }
-
-func (v *View) knownPeers(now time.Time, z amaranthtide.ZoneName) []Peer {
-	byName := make(map[amaranthtide.VMName]Peer)
-	for _, vms := range [][]amaranthtide.ListedVM{v.cfg.Seeds, v.listedVMs} {
-		for _, vm := range vms {
-			if vm.Zone == z && vm.Name != v.cfg.Self {
-				byName[vm.Name] = Peer{vm.Name, vm.Zone, vm.Address}
-			}
-		}
-	}
-	for name, p := range v.peers {
-		if z == v.cfg.Zone && v.isFresh(now, p) {
-			byName[name] = Peer{name, p.report.Zone, p.report.Address}
-		}
-	}
-	peers := make([]Peer, 0, len(byName))
-	for _, p := range byName {
-		peers = append(peers, p)
-	}
-	slices.SortFunc(peers, func(a, b Peer) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return peers
-}
-
-// LiveIn returns the live routers of a zone. It returns false if the zone is
-// unreachable, that is, if it is another zone and its last digest is older than
-// DigestMaxAge.
-func (v *View) LiveIn(now time.Time, z amaranthtide.ZoneName) ([]amaranthtide.VMName, bool) {
-	if z == v.cfg.Zone {
-		return v.Live(now), true
-	}
-	zone, ok := v.zones[z]
-	if !ok || now.Sub(zone.receivedAt) > DigestMaxAge {
-		return nil, false
-	}
-	return slices.Clone(zone.live), true
-}
-
-// Contacts returns the contacts of a zone whose addresses are known, excluding this
-// router. For a zone that is unreachable or out of service, they are chosen from the
-// listed VMs that are not leaving, so that digests are still exchanged.
-func (v *View) Contacts(now time.Time, z amaranthtide.ZoneName) []Peer {
-	known := v.knownPeers(now, z)
-	live, _ := v.LiveIn(now, z)
-	if len(live) == 0 {
-		for _, p := range known {
-			if !v.isListedLeaving(p.Name) {
-				live = append(live, p.Name)
-			}
-		}
-	}
-	contacts := placement.Contacts(z, live)
-	return slices.DeleteFunc(known, func(p Peer) bool { return !slices.Contains(contacts, p.Name) })
-}
-
-func (v *View) isListedLeaving(name amaranthtide.VMName) bool {
-	return slices.ContainsFunc(v.listedVMs, func(vm amaranthtide.ListedVM) bool { return vm.Name == name && vm.Leaving })
-}
