--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -118,9 +118,18 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{source: newSource(), servers: servers.New(), rows: feed.New()}
-	f.source.set(operatorTable, 1)
-	f.source.set(serversTable, 1, "e1")
+	source := newSource()
+	source.set(operatorTable, 1)
+	source.set(serversTable, 1, "e1")
+	f := startFixture(t, source)
+	eventually(t, "the first server", func() bool { return f.servers.Len() == 1 })
+	return f
+}
+
+// startFixture starts a router that follows the source.
+func startFixture(t *testing.T, source *source) *fixture {
+	t.Helper()
+	f := &fixture{source: source, servers: servers.New(), rows: feed.New()}
 	f.Follower = follow.New(follow.Options{
 		Feed: f.source, Decoder: reader{}, Tables: []amaranthtide.FeedTable{operatorTable, serversTable}, Rows: f.rows,
 		Configuration: declared.New(), Servers: f.servers, PolledTable: serversTable, Schedule: reading.NewSchedule(bound),
@@ -138,7 +147,6 @@
 	})
 	f.Start()
 	t.Cleanup(f.Close)
-	eventually(t, "the first server", func() bool { return f.servers.Len() == 1 })
 	return f
 }
 
@@ -291,3 +299,48 @@
 	time.Sleep(1500 * time.Millisecond)
 	is.True(!f.Reading(time.Now()))
 }
+
+// Guards against a router that restarts and uses a server that has left, or a key that was
+// withdrawn, because it takes the old rows of a peer that can't read the feed, while the
+// feed holds newer ones.
+func TestStartIgnoresRowsOfStalePeer(t *testing.T) {
+	is := is.New(t)
+	source := newSource()
+	source.set(operatorTable, 9)
+	source.set(serversTable, 9, "e2")
+	f := startFixture(t, source)
+	old := amaranthtide.FeedPage{Whole: true, Version: 3, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "left", Version: 3, Value: []byte("{}")}}}
+	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(time.Minute))
+	is.Equal(f.servers.Len(), 0)
+	eventually(t, "the listed server", func() bool { return f.servers.Len() == 1 })
+	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(time.Duration(0)))
+	is.Equal(f.servers.ByService("s")[0].Name, amaranthtide.BackendServerName("e2"))
+	is.Equal(f.servers.Len(), 1)
+}
+
+// Guards against a router that restarts while the feed is unavailable and serves nothing,
+// although a peer still has the rows of before.
+func TestStartDuringOutageTakesRowsOfStalePeer(t *testing.T) {
+	source := newSource()
+	source.setDown(true)
+	f := startFixture(t, source)
+	old := amaranthtide.FeedPage{Whole: true, Version: 3, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 3, Value: []byte("{}")}}}
+	eventually(t, "the rows of the peer", func() bool {
+		f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(time.Minute))
+		return f.servers.Len() == 1
+	})
+}
+
+// Guards against calls of a router that starts while a peer has a current view.
+func TestStartAsksPeersFirst(t *testing.T) {
+	is := is.New(t)
+	source := newSource()
+	source.set(serversTable, 9, "e2")
+	f := startFixture(t, source)
+	f.rank.Store(reading.NotReader)
+	page := amaranthtide.FeedPage{Whole: true, Version: 9, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e2", Version: 9, Value: []byte("{}")}}}
+	f.ApplyFromPeer(time.Now(), serversTable, page, amaranthtide.Some(100*time.Millisecond))
+	time.Sleep(600 * time.Millisecond)
+	is.Equal(f.servers.Len(), 1)
+	is.Equal(source.count(serversTable), 0)
+}
