state/feed, transport/peers: an old page brings no removed row back; relayed changes are complete

A table that is complete up to a version knows each row of that age, so an unknown one was removed (TestOldPageBringsNothingBack).

Found by reading for that fix: a reader relayed only the rows that were new to itself, with the version of the page. A row that it had from another router before never reached the routers that relied on it. Relayed changes are taken from the table itself now (TestRelayIncludesRowsKnownBefore).

TestWholeTablesAreNotRelayed sets the rows of each router instead of passing them and also bounds the size of a change.

--- a/state/feed/tables.go
+++ b/state/feed/tables.go
@@ -120,6 +120,11 @@
 	if ok && row.Version <= old.Version {
 		return false
 	}
+	// The table is complete up to its version: an unknown row of that age was removed, and
+	// comes from a late message or from a router with an older table.
+	if !ok && row.Version <= t.version {
+		return false
+	}
 	if row.Value == nil && (!ok || old.Value != nil) {
 		t.removedCount++
 	}
--- a/state/feed/tables_test.go
+++ b/state/feed/tables_test.go
@@ -45,6 +45,18 @@
 	is.Equal(len(f.Apply(table, amaranthtide.FeedPage{Version: 6, Rows: []amaranthtide.FeedRow{row("a", 6, "late")}})), 0)
 }
 
+// Guards against a removed row that an older page brings back, after its removal was
+// dropped or was never seen.
+func TestOldPageBringsNothingBack(t *testing.T) {
+	is := is.New(t)
+	f := feed.New()
+	f.Apply(table, amaranthtide.FeedPage{Whole: true, Version: 9, Rows: []amaranthtide.FeedRow{row("b", 7, "1")}})
+	for _, whole := range []bool{true, false} {
+		is.Equal(len(f.Apply(table, amaranthtide.FeedPage{Whole: whole, Version: 5, Rows: []amaranthtide.FeedRow{row("a", 3, "old"), row("b", 5, "old")}})), 0)
+	}
+	is.Equal(len(f.Apply(table, amaranthtide.FeedPage{Version: 11, Rows: []amaranthtide.FeedRow{row("a", 10, "new")}})), 1)
+}
+
 // Guards against a copy that differs from its source after any sequence of changes
 // and updates by Since.
 func TestSinceCopiesTable(t *testing.T) {
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -80,10 +80,10 @@
 	// Schedule and Position determine whether this router reads the feed.
 	Schedule reading.Schedule
 	Position func(now time.Time) reading.Position
-	// Relay is called with the changes that this router reads from the feed, and with each
-	// page of the polled table, also if it has no rows. After is absent if this is the first
-	// page of the table.
-	Relay func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage)
+	// Relay is called when this router has read changes of a table after the given version
+	// from the feed, and after each page of the polled table, also if it has no rows. After
+	// is absent if this is the first page of the table.
+	Relay func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion])
 	// Observe is called at the end of each call to the feed; may be nil.
 	Observe func(table amaranthtide.FeedTable, err error)
 	// OnServerGone is called with each server that was removed from the list; may be nil.
@@ -244,7 +244,7 @@
 	f.recordSuccess(now, table, earliest(now, started.Add(wait+maxAnswerDelay)))
 	changed := f.Apply(now, table, page)
 	if (table == f.opts.PolledTable || len(changed) > 0) && f.mustRelay(now) {
-		f.opts.Relay(table, after, amaranthtide.FeedPage{Version: page.Version, Rows: changed})
+		f.opts.Relay(table, after)
 	}
 	if len(page.Rows) > 0 && slices.Contains(f.opts.BatchedTables, table) {
 		f.sleep(batchInterval)
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -133,7 +133,8 @@
 	f.Follower = follow.New(follow.Options{
 		Feed: f.source, Decoder: reader{}, Tables: []amaranthtide.FeedTable{operatorTable, serversTable}, Rows: f.rows,
 		Configuration: declared.New(), Servers: f.servers, PolledTable: serversTable, Schedule: reading.NewSchedule(bound),
-		Relay: func(table amaranthtide.FeedTable, _ amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage) {
+		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
+			page, _ := f.rows.Since(table, after.Or(0))
 			switch {
 			case len(page.Rows) > 0:
 				f.relayed.Add(1)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -282,8 +282,8 @@
 
 // relay forwards changes of the feed to other routers. The follower calls it instead of
 // peers.Exchange.Relay, since the follower is created before the exchange.
-func (g *Gateway) relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage) {
-	g.peers.Relay(table, after, page)
+func (g *Gateway) relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
+	g.peers.Relay(table, after)
 }
 
 // position returns this router's position among the readers of the feed. Like relay, it is
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -164,22 +164,30 @@
 	e.publish(message.TopicRowsRequest, request, to)
 }
 
-// Relay forwards changes that this router has read from the feed, after the given version,
-// to the routers of the zone and to the readers of later zones. A page without rows tells
-// them that this router can read the feed. The first page of a table is replaced by such a
-// page, since its size grows with the fleet: routers that lack rows request them.
-func (e *Exchange) Relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage) {
+// Relay forwards the changes of a table after the given version, which this router has read
+// from the feed, to the routers of the zone and to the readers of later zones. A page
+// without rows tells them that this router can read the feed. The first page of a table is
+// replaced by such a page, since its size grows with the fleet: routers that lack rows
+// request them.
+func (e *Exchange) Relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
 	now := time.Now()
-	version, known := after.Get()
-	if !known {
-		page = amaranthtide.FeedPage{}
-	}
 	e.mu.Lock()
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	m := message.NewRows(table, version, page, e.opts.Follower.ViewAge(now))
+	e.publish(message.TopicRows, e.newRows(table, after, e.opts.Follower.ViewAge(now)), to)
+}
+
+// newRows returns a message with all changes of a table after the given version, without
+// rows if that is absent or if not all changes since then are kept.
+func (e *Exchange) newRows(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], viewAge amaranthtide.Option[time.Duration]) *message.Rows {
+	version, known := after.Get()
+	page, _ := e.opts.Rows.Since(table, version)
+	if !known || page.Whole {
+		page = amaranthtide.FeedPage{}
+	}
+	m := message.NewRows(table, version, page, viewAge)
 	m.Newest = e.newestRows()
-	e.publish(message.TopicRows, m, to)
+	return m
 }
 
 // relayTargets returns the addresses of the routers of the zone and of the routers of other
@@ -246,13 +254,13 @@
 		"rows", len(page.Rows), "version", page.Version)
 	changed := e.opts.Follower.ApplyFromPeer(now, table, page, m.ViewAge())
 	e.requestMissed(now, sender, m.Newest)
-	e.relayFromOtherZone(now, senderName, &m, amaranthtide.FeedPage{Version: page.Version, Rows: changed})
+	e.relayFromOtherZone(now, senderName, &m, len(changed) > 0)
 }
 
 // relayFromOtherZone forwards the changes of a message from another zone if this router is
 // the first reader of its zone. Messages that neither changed anything nor confirm a newer
 // view are not forwarded, which also keeps them from circulating.
-func (e *Exchange) relayFromOtherZone(now time.Time, sender amaranthtide.VMName, m *message.Rows, changes amaranthtide.FeedPage) {
+func (e *Exchange) relayFromOtherZone(now time.Time, sender amaranthtide.VMName, m *message.Rows, changed bool) {
 	e.mu.Lock()
 	r, known := e.routers[sender]
 	if !known || r.zone == e.opts.Self.Zone || e.position(now).Router != 0 {
@@ -267,15 +275,14 @@
 			e.viewSource, e.viewSourceAt = sender, now
 		}
 	}
-	if !isNewer && len(changes.Rows) == 0 {
+	if !isNewer && !changed {
 		e.mu.Unlock()
 		return
 	}
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	relayed := message.NewRows(amaranthtide.FeedTable(m.Table), amaranthtide.RowVersion(m.After), changes, m.ViewAge())
-	relayed.Newest = e.newestRows()
-	e.publish(message.TopicRows, relayed, to)
+	after := amaranthtide.Some(amaranthtide.RowVersion(m.After))
+	e.publish(message.TopicRows, e.newRows(amaranthtide.FeedTable(m.Table), after, m.ViewAge()), to)
 }
 
 // readersOfEarlierZones returns the routers that probably read the feed for the zones
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	watermill "github.com/ThreeDotsLabs/watermill/message"
+	"github.com/matryer/is"
 
 	"amaranthtide"
 	"amaranthtide/coordination/placement"
@@ -54,6 +55,7 @@
 	entry  amaranthtide.RouterEntry
 	topics map[string]chan *watermill.Message
 	load   *traffic.Counter
+	rows   *feed.Tables
 	follow *follow.Follower
 	*peers.Exchange
 
@@ -184,13 +186,13 @@
 	if f.linkMegabits != nil {
 		n.entry.LinkMegabits = f.linkMegabits(i)
 	}
-	rows := feed.New()
+	n.rows = feed.New()
 	n.follow = follow.New(follow.Options{
-		Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, Rows: rows,
+		Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, Rows: n.rows,
 		Configuration: declared.New(), Servers: servers.New(), Schedule: reading.NewSchedule(bound),
 		Position: func(now time.Time) reading.Position { return n.Position(now) },
-		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], page amaranthtide.FeedPage) {
-			n.Relay(table, after, page)
+		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
+			n.Relay(table, after)
 		},
 		OnRoutersChanged: func(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName) {
 			n.ApplyRegistry(now, registered, removed)
@@ -198,7 +200,7 @@
 	})
 	n.Exchange = peers.New(peers.Options{
 		Self: n.entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: seeds, Mesh: n, Traffic: n.load,
-		Follower: n.follow, Rows: rows, PolledTable: serversTable, DeclaredTable: operatorTable, RegistryTable: registryTable,
+		Follower: n.follow, Rows: n.rows, PolledTable: serversTable, DeclaredTable: operatorTable, RegistryTable: registryTable,
 		Registrar: n, OnRoutersChanged: n.setNames,
 	})
 	f.mu.Lock()
@@ -501,11 +503,11 @@
 		zones := startZones(t, f, "a", 8)
 		defer closeAll(zones)
 		time.Sleep(6 * time.Second)
-		page := amaranthtide.FeedPage{Whole: true, Version: 9}
+		page := amaranthtide.FeedPage{Whole: true, Version: 900}
 		for i := range 1000 {
-			page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: serversTable, Key: fmt.Sprint("e", i), Version: 9, Value: make([]byte, 100)})
+			page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: serversTable, Key: fmt.Sprint("e", i), Version: 900, Value: make([]byte, 100)})
 		}
-		changed := amaranthtide.FeedPage{Version: 10, Rows: page.Rows[:1]}
+		changed := amaranthtide.FeedPage{Version: 901, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e0", Version: 901, Value: make([]byte, 100)}}}
 		for _, n := range zones["a"] {
 			sent := func(relay func()) int {
 				f.mu.Lock()
@@ -516,10 +518,12 @@
 				defer f.mu.Unlock()
 				return f.bytes[n.entry.VM] - before
 			}
-			if got := sent(func() { n.Relay(serversTable, amaranthtide.None[amaranthtide.RowVersion](), page) }); got > 1000 {
+			n.rows.Apply(serversTable, page)
+			if got := sent(func() { n.Relay(serversTable, amaranthtide.None[amaranthtide.RowVersion]()) }); got > 1000 {
 				t.Errorf("%s: got: %d bytes for a whole table, want: a notice to 7 routers", n.entry.VM, got)
 			}
-			if got := sent(func() { n.Relay(serversTable, amaranthtide.Some(amaranthtide.RowVersion(9)), changed) }); got < 7*100 {
+			n.rows.Apply(serversTable, changed)
+			if got := sent(func() { n.Relay(serversTable, amaranthtide.Some(page.Version)) }); got < 7*100 || got > 7*1000 {
 				t.Errorf("%s: got: %d bytes for a change, want: the change to 7 routers", n.entry.VM, got)
 			}
 		}
@@ -622,3 +626,29 @@
 		}
 	})
 }
+
+// Guards against routers that never get a row: the reader had it from another router before
+// it read it from the feed, and relayed only what was new to itself.
+func TestRelayIncludesRowsKnownBefore(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "a", 3)
+		defer closeAll(zones)
+		time.Sleep(6 * time.Second)
+		known := amaranthtide.FeedRow{Table: serversTable, Key: "e1", Version: 901, Value: []byte("x")}
+		added := amaranthtide.FeedRow{Table: serversTable, Key: "e2", Version: 902, Value: []byte("x")}
+		for _, n := range zones["a"] {
+			n.rows.Apply(serversTable, amaranthtide.FeedPage{Whole: true, Version: 900})
+		}
+		reader := zones["a"][0]
+		reader.rows.Apply(serversTable, amaranthtide.FeedPage{Version: 900, Rows: []amaranthtide.FeedRow{known}})
+		reader.rows.Apply(serversTable, amaranthtide.FeedPage{Version: 902, Rows: []amaranthtide.FeedRow{known, added}})
+		reader.Relay(serversTable, amaranthtide.Some(amaranthtide.RowVersion(900)))
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range zones["a"] {
+			page, _ := n.rows.Since(serversTable, 900)
+			is.Equal(len(page.Rows), 2)
+		}
+	})
+}
--- a/transport/upstream/fuzz_test.go
+++ b/transport/upstream/fuzz_test.go
@@ -47,11 +47,11 @@
 // identifier, broken framing.
 func FuzzAnswersReachTheirRequest(f *testing.F) {
 	f.Add([]byte{awaitRequest, 0, awaitRequest, 1})
-	f.Add([]byte{awaitRequest, 0, 0, awaitRequest, 1})                  // a second copy
-	f.Add([]byte{awaitRequest, 0, awaitRequest, 0, 1})                  // a late second copy
-	f.Add([]byte{awaitRequest, 0, awaitRequest, 3})                     // one without an identifier
-	f.Add([]byte{0, awaitRequest, 1, awaitRequest, 1})                  // answers before their requests
-	f.Add([]byte{awaitRequest, 4, 4, 2, 8, awaitRequest, 1})            // skipped answers
+	f.Add([]byte{awaitRequest, 0, 0, awaitRequest, 1})               // a second copy
+	f.Add([]byte{awaitRequest, 0, awaitRequest, 0, 1})               // a late second copy
+	f.Add([]byte{awaitRequest, 0, awaitRequest, 3})                  // one without an identifier
+	f.Add([]byte{0, awaitRequest, 1, awaitRequest, 1})               // answers before their requests
+	f.Add([]byte{awaitRequest, 4, 4, 2, 8, awaitRequest, 1})         // skipped answers
 	f.Add([]byte{awaitRequest, 6, closeNow, awaitRequest, truncate}) // truncated answers
 	f.Add([]byte{awaitRequest, 13, 15, awaitRequest, 5, 10, 11, 12})
 	f.Fuzz(func(t *testing.T, script []byte) {
