--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -301,6 +301,27 @@
 	is.True(!f.Reading(time.Now()))
 }
 
+// Guards against a router that stops reading because others confirm to it the view that it
+// has relayed to them itself: with both readers of the first zone silent, the views of the
+// fleet were up to 3 s old.
+func TestOwnViewDoesNotEndReading(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.rank.Store(1)
+	eventually(t, "a standby reader that reads", func() bool { return f.Reading(time.Now()) })
+	before := f.source.count(serversTable)
+	for range 40 {
+		f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{}, f.ViewAge(time.Now()))
+		time.Sleep(25 * time.Millisecond)
+	}
+	is.True(f.Reading(time.Now()))
+	is.True(f.source.count(serversTable) > before+1)
+	eventually(t, "a standby reader that stops once another router reads", func() bool {
+		f.observePeerRead()
+		return !f.Reading(time.Now())
+	})
+}
+
 // Guards against a router that restarts and uses a server that has left, or a key that was
 // withdrawn, because it takes the old rows of a peer that can't read the feed, while the
 // feed holds newer ones.
