transport/peers: a row that can't be delivered is not requested without end

Two routers then exchange requests and answers as fast as the network carries them.

Change: a router names only rows up to the version to which its table is complete, and a receiver compares with the version of its own table, so that each request makes progress. TestUndeliverableRowsAreNotRequestedAgain fails before, in both cases.

--- a/transport/peers/requests.go
+++ b/transport/peers/requests.go
@@ -105,11 +105,13 @@
 	e.requestRowsOf(to, tables...)
 }
 
-// requestMissed requests rows that the sender of a message has and this router lacks.
+// requestMissed requests rows that the sender of a message has and this router lacks. A
+// table that is complete up to the version lacks nothing, even if it has no row of that
+// version: the row was removed.
 func (e *Exchange) requestMissed(now time.Time, sender netip.AddrPort, newest []message.TableVersion) {
 	for _, n := range newest {
 		table := amaranthtide.FeedTable(n.Table)
-		if amaranthtide.RowVersion(n.Version) > e.opts.Rows.MaxRowVersion(table) && !e.requestPending(now, sender, table) {
+		if amaranthtide.RowVersion(n.Version) > e.opts.Rows.Version(table).Or(0) && !e.requestPending(now, sender, table) {
 			e.requestRowsOf([]netip.AddrPort{sender}, table)
 		}
 	}
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -11,12 +11,14 @@
 	"amaranthtide/transport/mesh"
 )
 
-// newestRows returns the versions of the newest rows that this router has of the tables
-// that are not polled.
+// newestRows returns the versions of the newest rows that this router can deliver of the
+// tables that are not polled: rows beyond a gap are left out. Naming one that a request
+// doesn't yield would make the receiver request it without end.
 func (e *Exchange) newestRows() []message.TableVersion {
 	var newest []message.TableVersion
 	for _, table := range []amaranthtide.FeedTable{e.opts.DeclaredTable, e.opts.RegistryTable} {
-		newest = append(newest, message.TableVersion{Table: string(table), Version: uint64(e.opts.Rows.MaxRowVersion(table))})
+		version := min(e.opts.Rows.MaxRowVersion(table), e.opts.Rows.Version(table).Or(0))
+		newest = append(newest, message.TableVersion{Table: string(table), Version: uint64(version)})
 	}
 	return newest
 }
--- a/transport/peers/rows_test.go
+++ b/transport/peers/rows_test.go
@@ -191,3 +191,35 @@
 		}
 	})
 }
+
+// Guards against two routers that exchange requests and answers without end: one names a row
+// that it can't deliver, since the rows before it are missing, or that the other one knows
+// to be removed, since its table is complete beyond it.
+func TestUndeliverableRowsAreNotRequestedAgain(t *testing.T) {
+	for name, rows := range map[string]struct{ sender, receiver amaranthtide.FeedPage }{
+		"beyond a gap": {
+			amaranthtide.FeedPage{Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "a", Version: 900, Value: []byte("x")}}},
+			amaranthtide.FeedPage{},
+		},
+		"removed": {
+			amaranthtide.FeedPage{Version: 900, Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "a", Version: 900}}},
+			amaranthtide.FeedPage{Whole: true, Version: 950},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				zones := startZones(t, f, "a", 2)
+				defer closeAll(zones)
+				time.Sleep(6 * time.Second)
+				f.limitMessages(f.count(&f.messages) + 2*15*5)
+				zones["a"][0].rows.Apply(operatorTable, rows.sender)
+				zones["a"][1].rows.Apply(operatorTable, rows.receiver)
+				time.Sleep(5 * time.Second)
+				if f.messagesLeft() == 0 {
+					t.Error("got: more than 15 messages per second and router, want: at most 15")
+				}
+			})
+		})
+	}
+}
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -41,6 +41,9 @@
 	feedCalls      map[amaranthtide.FeedTable]int
 	registryWrites int
 	messages       int
+	// messageLimit is the number of messages after which further ones are dropped, so that
+	// an exchange without end fails a test instead of hanging it; 0 is no limit.
+	messageLimit int
 	// linkMegabits returns the link of the i-th router of a zone; nil is 0 for all.
 	linkMegabits func(i int) int
 	// bytes counts the bytes that each router has sent.
@@ -79,6 +82,9 @@
 	defer f.mu.Unlock()
 	for _, msg := range messages {
 		for part := range strings.SplitSeq(msg.Metadata.Get(mesh.MetadataPeers), ",") {
+			if f.messageLimit > 0 && f.messages >= f.messageLimit {
+				return nil
+			}
 			f.messages++
 			f.bytes[n.entry.VM] += frame.HeaderSize + len(topic) + len(msg.Payload)
 			to := f.nodes[netip.MustParseAddrPort(part)]
@@ -233,6 +239,18 @@
 	f.feedDown = down
 }
 
+func (f *fleet) limitMessages(limit int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.messageLimit = limit
+}
+
+func (f *fleet) messagesLeft() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.messageLimit - f.messages
+}
+
 // count returns the value of one of the fleet's counters.
 func (f *fleet) count(n *int) int {
 	f.mu.Lock()
