transport/follow: the wait for the second poll has a limit

Cause (TestHungCallIsCanceled failed once, again in 1 of 60 runs of the compiled test): after the first page of a table that is not polled, a router waits for the next poll. If that poll hangs, the table was not read until it failed. Change: the wait ends after the longest time that a poll may take.

--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -96,13 +96,17 @@
 	return ok
 }
 
-// awaitPoll waits until this router reads the polled table the next time.
+// awaitPoll waits until this router reads the polled table the next time, but not longer
+// than a poll may take.
 func (f *Follower) awaitPoll() {
 	f.mu.Lock()
 	next := f.readable
 	f.mu.Unlock()
+	timer := time.NewTimer(f.opts.Schedule.Poll + maxAnswerDelay)
+	defer timer.Stop()
 	select {
 	case <-next:
+	case <-timer.C:
 	case <-f.ctx.Done():
 	}
 }
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -33,7 +33,9 @@
 	down  bool
 	// hanging blocks calls with a wait until they are canceled.
 	hanging bool
-	calls   map[amaranthtide.FeedTable]int
+	// hangAfterFirst does the same for calls of the polled table after the first page.
+	hangAfterFirst bool
+	calls          map[amaranthtide.FeedTable]int
 }
 
 func newSource() *source {
@@ -43,7 +45,8 @@
 func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
 	s.mu.Lock()
 	s.calls[table]++
-	page, down, hanging := s.pages[table], s.down, s.hanging
+	_, known := after.Get()
+	page, down, hanging := s.pages[table], s.down, s.hanging || s.hangAfterFirst && known && table == serversTable
 	s.mu.Unlock()
 	if hanging && wait > 0 {
 		<-ctx.Done()
@@ -220,6 +223,23 @@
 	eventually(t, "the new version", func() bool { return !f.Behind(now.Add(time.Second), operatorTable, 2) })
 }
 
+// Guards against a router that starts and doesn't read the operators' table again while its
+// second poll hangs.
+func TestSecondPollHangs(t *testing.T) {
+	source := newSource()
+	source.set(operatorTable, 1)
+	source.set(serversTable, 1, "e1")
+	source.hangAfterFirst = true
+	f := startFixture(t, source)
+	eventually(t, "the first page", func() bool { return f.rows.Version(operatorTable).Or(0) == 1 })
+	source.set(operatorTable, 2)
+	start := time.Now()
+	eventually(t, "the second page", func() bool { return f.rows.Version(operatorTable).Or(0) == 2 })
+	if elapsed := time.Since(start); elapsed > bound {
+		t.Errorf("got: the second page after %v, want: at most %v", elapsed, bound)
+	}
+}
+
 // Guards against canceling the calls of a slow router while changes follow each other
 // quickly: it makes progress with each call, even if it never has the newest row.
 func TestCallsOfSlowRouterAreNotCanceled(t *testing.T) {
