transport/peers, transport/follow: a view names its reader and the polled rows that it covers

A reader that has taken over stopped because others confirmed its own view back to it; it relayed to its own and to later zones only; and a notice without rows confirmed the view also to routers that had missed the rows before it.

Change: messages name the router whose call confirmed the view, and the newest rows of the polled table; a router that lacks one requests it and doesn't take the view; a reader relays to the readers of earlier zones too.

TestFirstZoneIsSilencedAtTheFeed (a view of 2 s, at most 1.7 s) and TestNoticeShowsMissedRows (0 instead of 901) failed before.

--- a/feed.go
+++ b/feed.go
@@ -27,6 +27,14 @@
 	Whole bool
 }
 
+// FeedView tells how recently the feed has confirmed what a router knows of it.
+type FeedView struct {
+	// Age is the time since the confirmation.
+	Age time.Duration
+	// Reader is the router whose call the feed answered. Others have the view from it.
+	Reader VMName
+}
+
 // Feed delivers the rows of tables and their changes.
 type Feed interface {
 	// Next returns the whole table if after is absent or if the changes after that
--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -252,7 +252,8 @@
 		{Table: "t", Key: "empty", Version: 5, Value: []byte{}},
 		{Table: "t", Key: "gone", Version: 6},
 	}}
-	m := message.NewRows("t", 2, page, amaranthtide.Some(250*time.Millisecond))
+	view := amaranthtide.FeedView{Age: 250 * time.Millisecond, Reader: "vm-1"}
+	m := message.NewRows("t", 2, page, amaranthtide.Some(view))
 	data, err := message.Append(nil, m)
 	is.NoErr(err)
 	is.True(len(data) < len(large)/5)
@@ -260,10 +261,10 @@
 	is.NoErr(err)
 	is.Equal(table, amaranthtide.FeedTable("t"))
 	is.Equal(got, page)
-	is.Equal(roundTrip(t, m).ViewAge(), amaranthtide.Some(250*time.Millisecond))
-	is.Equal(roundTrip(t, message.NewRows("t", 2, page, amaranthtide.None[time.Duration]())).ViewAge(), amaranthtide.None[time.Duration]())
+	is.Equal(roundTrip(t, m).View(), amaranthtide.Some(view))
+	is.Equal(roundTrip(t, message.NewRows("t", 2, page, amaranthtide.None[amaranthtide.FeedView]())).View(), amaranthtide.None[amaranthtide.FeedView]())
 
-	truncated := message.NewRows("t", 2, page, amaranthtide.Some(250*time.Millisecond))
+	truncated := message.NewRows("t", 2, page, amaranthtide.Some(view))
 	truncated.Rows[0].Value = truncated.Rows[0].Value[:100]
 	_, _, err = truncated.ToDomain()
 	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindBadRequest)
@@ -277,7 +278,7 @@
 	for i := range 40 {
 		page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: "t", Key: fmt.Sprint(i), Version: 3, Value: make([]byte, message.MaxSize/8)})
 	}
-	m := message.NewRows("t", 2, page, amaranthtide.None[time.Duration]())
+	m := message.NewRows("t", 2, page, amaranthtide.None[amaranthtide.FeedView]())
 	data, err := message.Append(nil, m)
 	is.NoErr(err)
 	is.True(len(data) < 1<<20)
--- a/protocol/message/rows.go
+++ b/protocol/message/rows.go
@@ -60,6 +60,8 @@
 	// ViewAgeMillis is the time since the feed last confirmed the sender's view of it,
 	// directly or through other routers; negative if it never has.
 	ViewAgeMillis int64
+	// ViewReader is the router whose call confirmed the view; empty if none has.
+	ViewReader string
 	// Answer is set if the message answers a request, rather than being sent by a router
 	// that relays the feed.
 	Answer bool
@@ -86,12 +88,12 @@
 // Mbit/s.
 const minDeflateSize = 4 << 10
 
-// NewRows converts a page of a table to a message. viewAge is the time since the feed last
-// confirmed this router's view, absent if it never has.
-func NewRows(table amaranthtide.FeedTable, after amaranthtide.RowVersion, page amaranthtide.FeedPage, viewAge amaranthtide.Option[time.Duration]) *Rows {
+// NewRows converts a page of a table to a message. view is this router's view of the feed,
+// absent if the feed has never confirmed one.
+func NewRows(table amaranthtide.FeedTable, after amaranthtide.RowVersion, page amaranthtide.FeedPage, view amaranthtide.Option[amaranthtide.FeedView]) *Rows {
 	m := &Rows{Table: string(table), After: uint64(after), Version: uint64(page.Version), Whole: page.Whole, ViewAgeMillis: -1, Rows: make([]FeedRow, 0, len(page.Rows))}
-	if age, ok := viewAge.Get(); ok {
-		m.ViewAgeMillis = age.Milliseconds()
+	if v, ok := view.Get(); ok {
+		m.ViewAgeMillis, m.ViewReader = v.Age.Milliseconds(), string(v.Reader)
 	}
 	for _, row := range page.Rows {
 		value, deflated := deflate(row.Value)
@@ -127,12 +129,13 @@
 	return out, checkLength("decompressed row values", len(out), limit)
 }
 
-// ViewAge returns the age of the sender's view, absent if the feed has never confirmed it.
-func (m *Rows) ViewAge() amaranthtide.Option[time.Duration] {
+// View returns the sender's view, absent if the feed has never confirmed it.
+func (m *Rows) View() amaranthtide.Option[amaranthtide.FeedView] {
 	if m.ViewAgeMillis < 0 {
-		return amaranthtide.None[time.Duration]()
+		return amaranthtide.None[amaranthtide.FeedView]()
 	}
-	return amaranthtide.Some(time.Duration(min(m.ViewAgeMillis, maxViewAgeMillis)) * time.Millisecond)
+	age := time.Duration(min(m.ViewAgeMillis, maxViewAgeMillis)) * time.Millisecond
+	return amaranthtide.Some(amaranthtide.FeedView{Age: age, Reader: amaranthtide.VMName(m.ViewReader)})
 }
 
 // maxViewAgeMillis keeps the age of a peer's view within the range of time.Duration.
@@ -165,7 +168,7 @@
 }
 
 func (m *Rows) check() error {
-	if err := checkNames(m.Table); err != nil {
+	if err := checkNames(m.Table, m.ViewReader); err != nil {
 		return err
 	}
 	if err := checkTableVersions(m.Newest); err != nil {
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -14,7 +14,7 @@
 //		Relay: relay, OnRoutersChanged: update})
 //	f.Start()
 //	defer f.Close() // waits for all goroutines
-//	f.ApplyFromPeer(now, table, page, viewAge) // rows from another router
+//	f.ApplyFromPeer(now, table, page, view) // rows from another router
 //	if f.Stale(now) { ... }                    // rows should be requested from other routers
 package follow
 
@@ -66,6 +66,8 @@
 // Options are the dependencies and settings of a Follower. All but Observe, OnServerGone,
 // OnRoutersChanged and Logger are required.
 type Options struct {
+	// VM is the name of this router.
+	VM      amaranthtide.VMName
 	Feed    amaranthtide.Feed
 	Decoder amaranthtide.RowDecoder
 	// Tables are the tables to follow.
@@ -115,9 +117,10 @@
 	// rows from others.
 	peersStart bool
 	// ownView and peerView are the times as of which the feed has confirmed this router's
-	// view: through its own calls, and through the messages of other routers.
-	ownView  time.Time
-	peerView time.Time
+	// view: through its own calls, and through those of peerReader.
+	ownView    time.Time
+	peerView   time.Time
+	peerReader amaranthtide.VMName
 	// failures holds the failed calls of each table since its last successful one.
 	failures map[amaranthtide.FeedTable]failure
 	// cancelCalls holds the function that cancels a table's call in flight.
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -134,7 +134,7 @@
 	t.Helper()
 	f := &fixture{source: source, servers: servers.New(), rows: feed.New()}
 	f.Follower = follow.New(follow.Options{
-		Feed: f.source, Decoder: reader{}, Tables: []amaranthtide.FeedTable{operatorTable, serversTable}, Rows: f.rows,
+		VM: "vm-1", Feed: f.source, Decoder: reader{}, Tables: []amaranthtide.FeedTable{operatorTable, serversTable}, Rows: f.rows,
 		Configuration: declared.New(), Servers: f.servers, PolledTable: serversTable, Schedule: reading.NewSchedule(bound),
 		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
 			page, _ := f.rows.Since(table, after.Or(0))
@@ -156,7 +156,7 @@
 
 // observePeerRead delivers the notice of another router that has just read the feed.
 func (f *fixture) observePeerRead() {
-	f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{}, amaranthtide.Some(time.Duration(0)))
+	f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{}, amaranthtide.Some(amaranthtide.FeedView{Age: time.Duration(0), Reader: "vm-2"}))
 }
 
 func eventually(t *testing.T, what string, holds func() bool) {
@@ -331,7 +331,7 @@
 	eventually(t, "a standby reader that reads", func() bool { return f.Reading(time.Now()) })
 	before := f.source.count(serversTable)
 	for range 40 {
-		f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{}, f.ViewAge(time.Now()))
+		f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{}, f.View(time.Now()))
 		time.Sleep(25 * time.Millisecond)
 	}
 	is.True(f.Reading(time.Now()))
@@ -352,10 +352,10 @@
 	source.set(serversTable, 9, "e2")
 	f := startFixture(t, source)
 	old := amaranthtide.FeedPage{Whole: true, Version: 3, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "left", Version: 3, Value: []byte("{}")}}}
-	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(time.Minute))
+	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(amaranthtide.FeedView{Age: time.Minute, Reader: "vm-2"}))
 	is.Equal(f.servers.Len(), 0)
 	eventually(t, "the listed server", func() bool { return f.servers.Len() == 1 })
-	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(time.Duration(0)))
+	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(amaranthtide.FeedView{Age: time.Duration(0), Reader: "vm-2"}))
 	is.Equal(f.servers.ByService("s")[0].Name, amaranthtide.BackendServerName("e2"))
 	is.Equal(f.servers.Len(), 1)
 }
@@ -368,7 +368,7 @@
 	f := startFixture(t, source)
 	old := amaranthtide.FeedPage{Whole: true, Version: 3, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 3, Value: []byte("{}")}}}
 	eventually(t, "the rows of the peer", func() bool {
-		f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(time.Minute))
+		f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(amaranthtide.FeedView{Age: time.Minute, Reader: "vm-2"}))
 		return f.servers.Len() == 1
 	})
 }
@@ -381,7 +381,7 @@
 	f := startFixture(t, source)
 	f.rank.Store(reading.NotReader)
 	page := amaranthtide.FeedPage{Whole: true, Version: 9, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e2", Version: 9, Value: []byte("{}")}}}
-	f.ApplyFromPeer(time.Now(), serversTable, page, amaranthtide.Some(100*time.Millisecond))
+	f.ApplyFromPeer(time.Now(), serversTable, page, amaranthtide.Some(amaranthtide.FeedView{Age: 100 * time.Millisecond, Reader: "vm-2"}))
 	time.Sleep(600 * time.Millisecond)
 	is.Equal(f.servers.Len(), 1)
 	is.Equal(source.count(serversTable), 0)
--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -68,23 +68,24 @@
 	return age.String()
 }
 
-// ApplyFromPeer applies a page that another router has sent. peerViewAge is the age of that
-// router's view. A router without a view of its own takes the rows of a router that can't
+// ApplyFromPeer applies a page that a router with the given view has sent. The view doesn't
+// count if it stems from a call of this router itself, which others confirm back to it:
+// that doesn't show that another router can read the feed. A router without a view of its own takes the rows of a router that can't
 // read the feed only once its own calls have failed too: the feed may hold newer ones. It
 // returns the rows that changed.
-func (f *Follower) ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, peerViewAge amaranthtide.Option[time.Duration]) []amaranthtide.FeedRow {
+func (f *Follower) ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, peerView amaranthtide.Option[amaranthtide.FeedView]) []amaranthtide.FeedRow {
 	_, known := f.opts.Rows.Version(table).Get()
 	f.mu.Lock()
 	_, failing := f.failures[f.opts.PolledTable]
-	age, confirmed := peerViewAge.Get()
-	current := confirmed && f.opts.Schedule.Current(age)
+	view, confirmed := peerView.Get()
+	current := confirmed && f.opts.Schedule.Current(view.Age)
 	f.peersStart = f.peersStart || !known && !confirmed
 	if !known && !failing && !current {
 		f.mu.Unlock()
 		return nil
 	}
-	if confirmed {
-		f.peerView = latest(f.peerView, now.Add(-age))
+	if confirmedAt := now.Add(-view.Age); confirmed && view.Reader != f.opts.VM && confirmedAt.After(f.peerView) {
+		f.peerView, f.peerReader = confirmedAt, view.Reader
 		f.updateListReadability(now)
 	}
 	f.mu.Unlock()
@@ -101,12 +102,20 @@
 	return b
 }
 
-// ViewAge returns the time since the feed last confirmed this router's view, directly or
-// through other routers. It is absent if the feed never has.
-func (f *Follower) ViewAge(now time.Time) amaranthtide.Option[time.Duration] {
+// View returns this router's view, confirmed by its own calls or by those of another
+// router. It is absent if the feed has never confirmed it.
+func (f *Follower) View(now time.Time) amaranthtide.Option[amaranthtide.FeedView] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return viewAge(now, latest(f.ownView, f.peerView))
+	age, ok := viewAge(now, latest(f.ownView, f.peerView)).Get()
+	if !ok {
+		return amaranthtide.None[amaranthtide.FeedView]()
+	}
+	reader := f.opts.VM
+	if f.peerView.After(f.ownView) {
+		reader = f.peerReader
+	}
+	return amaranthtide.Some(amaranthtide.FeedView{Age: age, Reader: reader})
 }
 
 // Reading reports whether this router reads the feed and the feed answers.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -169,7 +169,7 @@
 		AttemptSender: opts.NewAttemptSender(trafficCounter), Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
-		Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.PolledTable, opts.DeclaredTable, opts.RegistryTable}, PolledTable: opts.PolledTable,
+		VM: opts.Entry.VM, Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.PolledTable, opts.DeclaredTable, opts.RegistryTable}, PolledTable: opts.PolledTable,
 		BatchedTables: []amaranthtide.FeedTable{opts.PolledTable, opts.RegistryTable}, Rows: feedTables, Configuration: g.configuration, Servers: g.servers, Schedule: reading.NewSchedule(opts.ChangeBound), Position: g.position, Relay: g.relay,
 		Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), OnRoutersChanged: g.applyRegistry, Logger: logger.Named("follow"),
 	})
@@ -225,11 +225,11 @@
 }
 
 func (g *Gateway) viewAgeMillis(now time.Time) int64 {
-	age, ok := g.follower.ViewAge(now).Get()
+	view, ok := g.follower.View(now).Get()
 	if !ok {
 		return -1
 	}
-	return age.Milliseconds()
+	return view.Age.Milliseconds()
 }
 
 func (g *Gateway) reading(now time.Time) int64 {
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -74,11 +74,11 @@
 
 // Follower reports the state of the feed and applies rows received from other routers.
 type Follower interface {
-	// ApplyFromPeer applies rows of a router with a view of the given age.
+	// ApplyFromPeer applies rows of a router with the given view of the feed.
 	// It returns the rows that changed.
-	ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, viewAge amaranthtide.Option[time.Duration]) []amaranthtide.FeedRow
-	// ViewAge returns the time since the feed last confirmed this router's view.
-	ViewAge(now time.Time) amaranthtide.Option[time.Duration]
+	ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, view amaranthtide.Option[amaranthtide.FeedView]) []amaranthtide.FeedRow
+	// View returns this router's view of the feed, absent if the feed has never confirmed it.
+	View(now time.Time) amaranthtide.Option[amaranthtide.FeedView]
 	// Behind reports whether this router should have received a row of that version by now.
 	Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool
 	// Reading reports whether this router reads the feed and the feed answers.
--- a/transport/peers/exchange_test.go
+++ b/transport/peers/exchange_test.go
@@ -100,11 +100,11 @@
 	reading atomic.Bool
 }
 
-func (*follower) ApplyFromPeer(time.Time, amaranthtide.FeedTable, amaranthtide.FeedPage, amaranthtide.Option[time.Duration]) []amaranthtide.FeedRow {
+func (*follower) ApplyFromPeer(time.Time, amaranthtide.FeedTable, amaranthtide.FeedPage, amaranthtide.Option[amaranthtide.FeedView]) []amaranthtide.FeedRow {
 	return nil
 }
-func (*follower) ViewAge(time.Time) amaranthtide.Option[time.Duration] {
-	return amaranthtide.Some(time.Duration(0))
+func (*follower) View(time.Time) amaranthtide.Option[amaranthtide.FeedView] {
+	return amaranthtide.Some(amaranthtide.FeedView{})
 }
 func (*follower) Behind(time.Time, amaranthtide.FeedTable, amaranthtide.RowVersion) bool {
 	return false
@@ -161,7 +161,7 @@
 	start(t, "vm-a", n, &follower{})
 	before := n.count(message.TopicRowsRequest)
 	page := amaranthtide.FeedPage{Version: 7, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 7, Value: []byte("{}")}}}
-	n.deliver(t, message.TopicRows, message.NewRows(serversTable, 5, page, amaranthtide.Some(time.Duration(0))))
+	n.deliver(t, message.TopicRows, message.NewRows(serversTable, 5, page, amaranthtide.Some(amaranthtide.FeedView{})))
 	for deadline := time.Now().Add(200 * time.Millisecond); n.count(message.TopicRowsRequest) == before; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("got: no request within 200 ms, want: one")
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	watermill "github.com/ThreeDotsLabs/watermill/message"
@@ -11,12 +12,12 @@
 	"amaranthtide/transport/mesh"
 )
 
-// newestRows returns the versions of the newest rows that this router can deliver of the
-// tables that are not polled: rows beyond a gap are left out. Naming one that a request
+// newestRows returns the versions of the newest rows that this router can deliver of each
+// table: rows beyond a gap are left out. Naming one that a request
 // doesn't yield would make the receiver request it without end.
 func (e *Exchange) newestRows() []message.TableVersion {
 	var newest []message.TableVersion
-	for _, table := range []amaranthtide.FeedTable{e.opts.DeclaredTable, e.opts.RegistryTable} {
+	for _, table := range []amaranthtide.FeedTable{e.opts.PolledTable, e.opts.DeclaredTable, e.opts.RegistryTable} {
 		version := min(e.opts.Rows.MaxRowVersion(table), e.opts.Rows.Version(table).Or(0))
 		newest = append(newest, message.TableVersion{Table: string(table), Version: uint64(version)})
 	}
@@ -33,32 +34,33 @@
 	e.mu.Lock()
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	e.publish(message.TopicRows, e.newRows(table, after, e.opts.Follower.ViewAge(now)), to)
+	e.publish(message.TopicRows, e.newRows(table, after, e.opts.Follower.View(now)), to)
 }
 
 // newRows returns a message with all changes of a table after the given version, without
 // rows if that is absent or if not all changes since then are kept.
-func (e *Exchange) newRows(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], viewAge amaranthtide.Option[time.Duration]) *message.Rows {
+func (e *Exchange) newRows(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], view amaranthtide.Option[amaranthtide.FeedView]) *message.Rows {
 	version, known := after.Get()
 	page, _ := e.opts.Rows.Since(table, version)
 	if !known || page.Whole {
 		page = amaranthtide.FeedPage{}
 	}
-	m := message.NewRows(table, version, page, viewAge)
+	m := message.NewRows(table, version, page, view)
 	m.Newest = e.newestRows()
 	return m
 }
 
-// relayTargets returns the addresses of the routers of the zone and of the routers of other
-// zones that request rows from this one. The caller holds mu.
+// relayTargets returns the addresses of the routers of the zone, of the readers of earlier
+// zones, which may be unable to read the feed, and of the routers of other zones that
+// request rows from this one. The caller holds mu.
 func (e *Exchange) relayTargets(now time.Time) []netip.AddrPort {
-	to := e.addresses(e.responsiveRouters(now)...)
+	names := append(e.responsiveRouters(now), e.readersOfEarlierZones()...)
 	for name, r := range e.routers {
 		if r.zone != e.opts.Self.Zone && now.Sub(r.lastRequestAt) <= liveAge {
-			to = append(to, e.addresses(name)...)
+			names = append(names, name)
 		}
 	}
-	return to
+	return e.addresses(names...) // without duplicates
 }
 
 // handleRowsRequest answers a request for rows. It also answers if there is nothing new:
@@ -74,12 +76,12 @@
 	}
 	now := time.Now()
 	e.observeAddress(now, sender, func(r *router) { r.lastRequestAt = now })
-	viewAge := e.opts.Follower.ViewAge(now)
+	view := e.opts.Follower.View(now)
 	for i, requested := range m.Tables {
 		table, after := amaranthtide.FeedTable(requested.Table), amaranthtide.RowVersion(requested.Version)
 		page, changed := e.opts.Rows.Since(table, after)
 		if i == 0 || changed {
-			answer := message.NewRows(table, after, page, viewAge)
+			answer := message.NewRows(table, after, page, view)
 			answer.Answer, answer.Newest = true, e.newestRows()
 			e.publish(message.TopicRows, answer, []netip.AddrPort{sender})
 		}
@@ -111,9 +113,35 @@
 	}
 	e.opts.Logger.Debug("rows received from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
 		"rows", len(page.Rows), "version", page.Version)
-	changed := e.opts.Follower.ApplyFromPeer(now, table, page, m.ViewAge())
+	changed := e.applyRows(now, &m, table, page)
 	e.requestMissed(now, sender, m.Newest)
-	e.relayFromOtherZone(now, senderName, &m, len(changed) > 0)
+	e.relayFromOtherZone(now, senderName, &m, changed)
+}
+
+// applyRows applies the page of a message and the view that it confirms, and reports whether
+// any row changed. A view doesn't count for a router that lacks polled rows of it, which are
+// requested: it would take a list for current in which a server is missing or has left.
+func (e *Exchange) applyRows(now time.Time, m *message.Rows, table amaranthtide.FeedTable, page amaranthtide.FeedPage) (changed bool) {
+	view := m.View()
+	if _, confirmed := view.Get(); confirmed && e.lacksPolledRows(m, table, page) {
+		if page.Version == 0 {
+			return false
+		}
+		view = amaranthtide.None[amaranthtide.FeedView]()
+	}
+	return len(e.opts.Follower.ApplyFromPeer(now, table, page, view)) > 0
+}
+
+// lacksPolledRows reports whether this router lacks polled rows that the message names, also
+// once it has applied the message's page.
+func (e *Exchange) lacksPolledRows(m *message.Rows, table amaranthtide.FeedTable, page amaranthtide.FeedPage) bool {
+	have := e.opts.Rows.Version(e.opts.PolledTable).Or(0)
+	if table == e.opts.PolledTable {
+		have = max(have, page.Version)
+	}
+	return slices.ContainsFunc(m.Newest, func(newest message.TableVersion) bool {
+		return newest.Table == string(e.opts.PolledTable) && amaranthtide.RowVersion(newest.Version) > have
+	})
 }
 
 // relayFromOtherZone forwards the changes of a message from another zone if this router is
@@ -126,10 +154,11 @@
 		e.mu.Unlock()
 		return
 	}
-	age, confirmed := m.ViewAge().Get()
-	isNewer := confirmed && now.Add(-age).Sub(e.relayedView) >= minViewProgress
+	view, confirmed := m.View().Get()
+	confirmedAt := now.Add(-view.Age)
+	isNewer := confirmed && view.Reader != e.opts.Self.VM && confirmedAt.Sub(e.relayedView) >= minViewProgress
 	if isNewer {
-		e.relayedView = now.Add(-age)
+		e.relayedView = confirmedAt
 		if !m.Answer && (now.Sub(e.viewSourceAt) > liveAge || r.zone <= e.routers[e.viewSource].zone) {
 			e.viewSource, e.viewSourceAt = sender, now
 		}
@@ -141,5 +170,5 @@
 	to := e.relayTargets(now)
 	e.mu.Unlock()
 	after := amaranthtide.Some(amaranthtide.RowVersion(m.After))
-	e.publish(message.TopicRows, e.newRows(amaranthtide.FeedTable(m.Table), after, m.ViewAge()), to)
+	e.publish(message.TopicRows, e.newRows(amaranthtide.FeedTable(m.Table), after, m.View()), to)
 }
--- a/transport/peers/rows_test.go
+++ b/transport/peers/rows_test.go
@@ -38,8 +38,8 @@
 	t.Helper()
 	for _, nodes := range zones {
 		for _, n := range nodes {
-			if age, known := n.follow.ViewAge(time.Now()).Get(); !slices.Contains(except, n) && (!known || age > most) {
-				t.Errorf("%s: %s: got: a view of %v (known: %v), want: at most %v", when, n.entry.VM, age, known, most)
+			if view, known := n.follow.View(time.Now()).Get(); !slices.Contains(except, n) && (!known || view.Age > most) {
+				t.Errorf("%s: %s: got: a view of %v (known: %v), want: at most %v", when, n.entry.VM, view.Age, known, most)
 			}
 		}
 	}
@@ -223,3 +223,44 @@
 		})
 	}
 }
+
+// Guards against routers whose views age because the feed is silent for the whole zone that
+// reads it, while the reader of a later zone has taken over: it relayed to its own zone and
+// to later ones only. The first zone's views stay below the age at which routers other than
+// readers take over, two checks and a request included.
+func TestFirstZoneIsSilencedAtTheFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "abcde", 24)
+		defer closeAll(zones)
+		time.Sleep(8 * time.Second)
+		f.mu.Lock()
+		for _, n := range zones["a"] {
+			f.silent.Add(n.entry.VM)
+		}
+		f.mu.Unlock()
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			checkViews(t, "first zone silenced", zones, 1700*time.Millisecond)
+		}
+	})
+}
+
+// Guards against a router that takes its view for fresh although it has missed rows: a
+// notice without rows confirmed it, and a server that had left stayed in use for 3.4 s.
+func TestNoticeShowsMissedRows(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "a", 4)
+		defer closeAll(zones)
+		time.Sleep(6 * time.Second)
+		sender := zones["a"][0]
+		sender.rows.Apply(serversTable, amaranthtide.FeedPage{Version: 901, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 901, Value: []byte("x")}}})
+		sender.Relay(serversTable, amaranthtide.Some(amaranthtide.RowVersion(901))) // nothing new after that version
+		time.Sleep(50 * time.Millisecond)
+		for _, n := range zones["a"] {
+			is.Equal(n.rows.MaxRowVersion(serversTable), amaranthtide.RowVersion(901))
+		}
+	})
+}
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -28,12 +28,17 @@
 // bound is the time within which a change must be in force.
 const bound = 2 * time.Second
 
+// callTimeout is the time after which a call that the feed doesn't answer fails.
+const callTimeout = 1200 * time.Millisecond
+
 // fleet connects the exchanges of several routers within one process. Single routers can be
 // disconnected, and the registry can fail.
 type fleet struct {
-	mu             sync.Mutex
-	nodes          map[netip.AddrPort]*node
-	disconnected   amaranthtide.Set[amaranthtide.VMName]
+	mu           sync.Mutex
+	nodes        map[netip.AddrPort]*node
+	disconnected amaranthtide.Set[amaranthtide.VMName]
+	// silent holds the routers whose calls the feed doesn't answer.
+	silent         amaranthtide.Set[amaranthtide.VMName]
 	registry       map[amaranthtide.VMName]amaranthtide.FeedRow
 	entries        map[string]amaranthtide.RouterEntry
 	version        amaranthtide.RowVersion
@@ -66,7 +71,7 @@
 
 func newFleet() *fleet {
 	return &fleet{
-		nodes: make(map[netip.AddrPort]*node), disconnected: amaranthtide.NewSet[amaranthtide.VMName](),
+		nodes: make(map[netip.AddrPort]*node), disconnected: amaranthtide.NewSet[amaranthtide.VMName](), silent: amaranthtide.NewSet[amaranthtide.VMName](),
 		registry: make(map[amaranthtide.VMName]amaranthtide.FeedRow), entries: make(map[string]amaranthtide.RouterEntry),
 		bytes: make(map[amaranthtide.VMName]int), feedCalls: make(map[amaranthtide.FeedTable]int),
 	}
@@ -118,8 +123,14 @@
 			return amaranthtide.FeedPage{}, ctx.Err()
 		}
 		f.mu.Lock()
-		page, down := f.page(table), f.feedDown
+		page, down, silent := f.page(table), f.feedDown, f.silent.Has(n.entry.VM)
 		f.mu.Unlock()
+		if silent {
+			if time.Now().After(deadline.Add(callTimeout)) {
+				return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "feed does not answer")
+			}
+			continue
+		}
 		if down {
 			return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "feed is unavailable")
 		}
@@ -192,7 +203,7 @@
 	}
 	n.rows = feed.New()
 	n.follow = follow.New(follow.Options{
-		Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, Rows: n.rows,
+		VM: n.entry.VM, Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, Rows: n.rows,
 		Configuration: declared.New(), Servers: servers.New(), Schedule: reading.NewSchedule(bound),
 		Position: func(now time.Time) reading.Position { return n.Position(now) },
 		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
