transport/direct, protocol/logline, cmd: crashes of servers and the prompts at them are visible

Requests now carry the parts of their prompt, a broken attempt is followed by one connection that shows whether the server still runs, and 'amaranthtide crashes' compares the prompts at crashed servers. No decision changes.

--- a/cmd/amaranthtide/explain.go
+++ b/cmd/amaranthtide/explain.go
@@ -18,3 +18,10 @@
 		return explain.Run(s.out, amaranthtide.RequestID(*id), *files)
 	}
 }
+
+// crashesCommand registers the command that compares the prompts at crashed servers.
+func crashesCommand(app *kingpin.Application) (string, action) {
+	cmd := app.Command("crashes", "Print which parts of prompts were at crashed servers, from the logs of routers.")
+	files := cmd.Arg("file", "Log files.").Required().ExistingFiles()
+	return cmd.FullCommand(), func(_ context.Context, s streams) error { return explain.Crashes(s.out, *files) }
+}
--- a/cmd/amaranthtide/main.go
+++ b/cmd/amaranthtide/main.go
@@ -12,6 +12,7 @@
 //	amaranthtide bench --profile latawiec --duration 60s --plot bench.png
 //	amaranthtide bench --direct
 //	amaranthtide explain 9c41d07be2a35f68 vm-1.log vm-2.log
+//	amaranthtide crashes vm-1.log vm-2.log
 //
 // The exit status is 0 on success, 1 on failure and 2 for invalid arguments. The exit
 // statuses of the operators' commands, implemented in cmd/internal/operator, are in
@@ -49,6 +50,7 @@
 	demoCommand,
 	benchCommand,
 	explainCommand,
+	crashesCommand,
 }
 
 func main() {
--- a/cmd/internal/explain/explain.go
+++ b/cmd/internal/explain/explain.go
@@ -1,9 +1,10 @@
-// Package explain implements the command that prints the trace of one request, taken
-// from the logs of routers.
+// Package explain implements the commands that read the logs of routers: the trace of one
+// request, and what the requests at crashed servers have in common.
 //
 // # Usage
 //
 //	err := explain.Run(os.Stdout, "9c41d07be2a35f68", []string{"vm-1.log", "vm-2.log"})
+//	err = explain.Crashes(os.Stdout, []string{"vm-1.log", "vm-2.log"})
 package explain
 
 import (
@@ -24,15 +25,9 @@
 // own identifier with ">". The error is of KindBadRequest if a file can't be read or
 // no line belongs to the request.
 func Run(w io.Writer, id amaranthtide.RequestID, files []string) error {
-	var lines []logline.Line
-	unparsed := 0
-	for _, name := range files {
-		more, n, err := readLog(name)
-		if err != nil {
-			return amaranthtide.Errorf(amaranthtide.KindBadRequest, "log %s: %w", name, err)
-		}
-		lines = append(lines, more...)
-		unparsed += n
+	lines, unparsed, err := readLogs(files)
+	if err != nil {
+		return err
 	}
 	trace := logline.Trace(id, lines)
 	if len(trace) == 0 {
@@ -48,10 +43,43 @@
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(w, "%d lines, %d could not be parsed\n", len(lines), unparsed)
+	_, err = fmt.Fprintf(w, "%d lines, %d could not be parsed\n", len(lines), unparsed)
 	return err
 }
 
+// Crashes prints to w, for each part of a prompt that was at a server when it crashed, how
+// many servers crashed with it and how many requests with it were answered. The error is of
+// KindBadRequest if a file can't be read.
+func Crashes(w io.Writer, files []string) error {
+	lines, unparsed, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "%-24s %8s %8s %8s\n", "prompt part", "crashes", "prompts", "answered"); err != nil {
+		return err
+	}
+	for _, o := range logline.PartOutcomes(lines) {
+		if _, err := fmt.Fprintf(w, "%-24s %8d %8d %8d\n", o.Part, o.Crashes, o.Prompts, o.Answered); err != nil {
+			return err
+		}
+	}
+	_, err = fmt.Fprintf(w, "%d lines, %d could not be parsed\n", len(lines), unparsed)
+	return err
+}
+
+// readLogs parses log files and counts the lines that can't be parsed.
+func readLogs(files []string) (lines []logline.Line, unparsed int, err error) {
+	for _, name := range files {
+		more, n, err := readLog(name)
+		if err != nil {
+			return nil, 0, amaranthtide.Errorf(amaranthtide.KindBadRequest, "log %s: %w", name, err)
+		}
+		lines = append(lines, more...)
+		unparsed += n
+	}
+	return lines, unparsed, nil
+}
+
 // readLog parses a log file and counts the lines that can't be parsed.
 func readLog(name string) (lines []logline.Line, unparsed int, err error) {
 	f, err := os.Open(name)
--- a/id.go
+++ b/id.go
@@ -37,6 +37,10 @@
 // workspace. A repeatable request has an empty key.
 type IdempotencyKey string
 
+// PromptPart identifies a part of a prompt, such as a system prompt or the history of a
+// chat. Requests that share the part have the same identifier.
+type PromptPart string
+
 // RequestID identifies a caller's request across all its attempts.
 type RequestID string
 
--- a/instance.go
+++ b/instance.go
@@ -60,6 +60,13 @@
 	Send(ctx context.Context, a Attempt, w AnswerWriter) error
 }
 
+// ServerProber tells whether backend servers run, without sending them a request.
+type ServerProber interface {
+	// Refuses reports whether the VM at addr refuses connections, which shows that no
+	// server runs there. It returns false if the server accepts one or doesn't respond.
+	Refuses(ctx context.Context, addr netip.AddrPort) bool
+}
+
 // ServerObserver receives the loads that servers report in their answers.
 type ServerObserver interface {
 	// ServerReported is called with the report in the head of an answer.
--- a/request.go
+++ b/request.go
@@ -12,6 +12,9 @@
 	Attempt   AttemptID
 	Workspace WorkspaceName
 	Chat      ChatID
+	// PromptParts are the parts of the prompt in order; nil if they are not known. The last
+	// part belongs to this request or its chat.
+	PromptParts []PromptPart
 	// Model is set for chat completions, Route for plain services.
 	Model ModelName
 	Route RouteName
--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"amaranthtide"
 	"amaranthtide/protocol/completion"
@@ -26,6 +27,9 @@
 	// serverFailed is set if the server answered the current attempt with a failure.
 	serverFailed bool
 	headSent     bool
+	// begunAt is when the current attempt delivered the first bytes of its body; zero if it
+	// has not.
+	begunAt time.Time
 	// phase is the phase of the current attempt. The attempt sender and the start timer
 	// change it concurrently.
 	phase   atomic.Int32
@@ -89,6 +93,9 @@
 
 // Chunk implements amaranthtide.AnswerWriter.
 func (a *answer) Chunk(b []byte) error {
+	if a.begunAt.IsZero() {
+		a.begunAt = time.Now()
+	}
 	if a.deferring {
 		a.deferred.body = append(a.deferred.body, b...)
 		return nil
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -41,8 +41,8 @@
 // budget of the whole fleet.
 const assumedRouters = 256
 
-// Options are the dependencies and settings of a Dispatcher. All but Observe and Logger are
-// required.
+// Options are the dependencies and settings of a Dispatcher. All but Prober, Observe and Logger
+// are required.
 type Options struct {
 	VM            amaranthtide.VMName
 	Zone          amaranthtide.ZoneName
@@ -50,6 +50,9 @@
 	Servers       *servers.Directory
 	Traffic       *traffic.Counter
 	AttemptSender amaranthtide.AttemptSender
+	// Prober tells whether a server that broke off an answer has crashed; nil if that is not
+	// known of any server.
+	Prober amaranthtide.ServerProber
 	// Cap limits the load of an engine. SetCap replaces it.
 	Cap choice.Cap
 	// Retries limits the retries of one service over the whole fleet.
@@ -70,6 +73,8 @@
 	loadCap      atomic.Pointer[choice.Cap]
 	// routerCount is the number of known routers, or assumedRouters.
 	routerCount atomic.Int64
+	// crashes counts the attempts that ended with a crash of their server.
+	crashes atomic.Int64
 
 	mu          sync.Mutex
 	coldLimiter *coldrate.Limiter
@@ -155,7 +160,7 @@
 		}
 		if in := candidates[i].Instance; d.admitCold(now, in, spec) {
 			d.opts.Logger.Info("request placed", "request", string(req.ID), "attempt", len(tried)+1, "server", string(in.Name),
-				"zone", string(in.Zone), "load", candidates[i].Load, "avoided", candidates[i].Avoid, "cold", now.Before(in.ColdUntil),
+				"prompt", promptText(req.PromptParts), "zone", string(in.Zone), "load", candidates[i].Load, "avoided", candidates[i].Avoid, "cold", now.Before(in.ColdUntil),
 				"candidates", len(candidates), "revision", uint64(d.opts.Configuration.Revision()))
 			return in, nil
 		}
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -78,6 +78,7 @@
 	if r.spec.Engine {
 		attempt.FetchFrom = r.dispatcher.promptSource(time.Now(), r.req, in)
 	}
+	r.answer.begunAt = time.Time{}
 	err := r.sendWithStartTimeout(ctx, in.Name, attempt)
 	if err == nil && r.answer.deferring {
 		err = amaranthtide.Errorf(amaranthtide.KindBackendFailed, "server %s answered status %d", in.Name, r.answer.deferred.head.Status)
@@ -105,6 +106,7 @@
 		r.dispatcher.recordServer(in.Name, func(rec *outlier.Record) { rec.Failed(now) })
 	}
 	r.dispatcher.opts.Observe(r.req, err)
+	r.observeCrash(ctx, in, err)
 	if err != nil {
 		r.dispatcher.opts.Logger.Warn("attempt failed", "request", string(r.req.ID), "server", string(in.Name), "kind", kind.String(),
 			"ran", kind.Reply().Ran.String(), "ageMillis", now.Sub(r.req.Arrived).Milliseconds(), "shown", r.answer.headSent, "error", err.Error())
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -96,6 +96,8 @@
 	// NewAttemptSender returns the client that sends requests to backend servers. The client
 	// passes the load that servers report about themselves to the observer.
 	NewAttemptSender func(amaranthtide.ServerObserver) amaranthtide.AttemptSender
+	// ServerProber tells whether a server that broke off an answer has crashed.
+	ServerProber amaranthtide.ServerProber
 	// MetricsListen is the address of the metrics endpoint; the zero value disables it.
 	MetricsListen netip.AddrPort
 	// DroppedLogLines returns the number of dropped log lines; nil omits the metric.
@@ -166,7 +168,7 @@
 	}
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: trafficCounter,
-		AttemptSender: opts.NewAttemptSender(trafficCounter), Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
+		AttemptSender: opts.NewAttemptSender(trafficCounter), Prober: opts.ServerProber, Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		VM: opts.Entry.VM, Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.PolledTable, opts.DeclaredTable, opts.RegistryTable}, PolledTable: opts.PolledTable,
@@ -218,6 +220,10 @@
 		}
 	}
 	err := g.meter.LabeledGauge("amaranthtide.retries.left", "Retries that this router may spend at once.", "service", g.retriesLeft)
+	if err != nil {
+		return err
+	}
+	err = g.meter.Counter("amaranthtide.server.crashes", "Backend servers that crashed before they had answered a request of this router.", func() int64 { return g.dispatcher.Crashes() })
 	if err != nil || g.opts.DroppedLogLines == nil {
 		return err
 	}
--- a/transport/upstream/pool.go
+++ b/transport/upstream/pool.go
@@ -31,6 +31,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"amaranthtide"
@@ -126,6 +127,8 @@
 	}
 }
 
+var _ amaranthtide.ServerProber = (*Pool)(nil)
+
 // Exchange is one request and a check that recognizes its answer.
 type Exchange struct {
 	Addr   netip.AddrPort
@@ -170,6 +173,18 @@
 	}
 }
 
+// Refuses implements amaranthtide.ServerProber. A connection that is accepted is kept for
+// the next request.
+func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+	c, err := dial(ctx, p, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.expires = c.lastUsed.Add(reuse.KeepFor(0))
+	p.release(c, 0)
+	return false
+}
+
 // acquire returns an idle connection, or a new one if there is none.
 func (p *Pool) acquire(ctx context.Context, e Exchange) (c *connection, reused bool, err error) {
 	for {
