--- /dev/null
+++ b/transport/direct/crash_test.go
@@ -0,0 +1,65 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+)
+
+// crashingServers is a fake of servers that crash on requests with the part "bad" in their
+// prompts. It implements amaranthtide.ServerProber.
+type crashingServers struct {
+	mu      sync.Mutex
+	crashes int
+	down    amaranthtide.Set[netip.AddrPort]
+}
+
+func (c *crashingServers) answer(_ context.Context, a amaranthtide.Attempt, _ amaranthtide.AnswerWriter) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down.Remove(a.Address) // it was restarted
+	if !slices.Contains(a.Request.PromptParts, "bad") {
+		return nil
+	}
+	c.crashes++
+	c.down.Add(a.Address)
+	return amaranthtide.Errorf(amaranthtide.KindTruncated, "read response of server %s: unexpected EOF", a.Server)
+}
+
+// Refuses implements amaranthtide.ServerProber.
+func (c *crashingServers) Refuses(_ context.Context, addr netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down.Has(addr)
+}
+
+func promptRequest(parts ...amaranthtide.PromptPart) *amaranthtide.Request {
+	req := request("llm", string(parts[0]), false)
+	req.PromptParts = parts
+	return req
+}
+
+// Guards against requests that crash one server after the other because they share a part of
+// their prompts, and against sound requests with the other parts that are rejected with them.
+func TestPromptPartThatCrashesServersIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	servers := &crashingServers{down: amaranthtide.NewSet[netip.AddrPort]()}
+	d := newDispatcherWithProber(&fakeSender{answer: servers.answer}, servers)
+	for i := range 30 {
+		last := amaranthtide.PromptPart(fmt.Sprintf("x%d", i))
+		err := d.Serve(t.Context(), promptRequest("base", "club", "bad", last), &discard{})
+		is.True(err != nil)
+		is.NoErr(d.Serve(t.Context(), promptRequest("base", "club", last+"-sound"), &discard{}))
+	}
+	const maxCrashes = 5
+	if servers.crashes > maxCrashes {
+		t.Errorf("got: %d crashed servers, want: at most %d", servers.crashes, maxCrashes)
+	}
+}
--- a/transport/direct/dispatcher_test.go
+++ b/transport/direct/dispatcher_test.go
@@ -74,8 +74,19 @@
 	return d, dir
 }
 
+// newDispatcherWithProber returns a dispatcher like newDispatcher with the given prober.
+func newDispatcherWithProber(c *fakeSender, prober amaranthtide.ServerProber) *direct.Dispatcher {
+	d, _ := newDispatcherWith(c, func(opts *direct.Options) { opts.Prober = prober })
+	d.SetRouters([]amaranthtide.VMName{"vm-1"})
+	return d
+}
+
 // newUnregisteredDispatcher returns a dispatcher that doesn't know the registered routers.
 func newUnregisteredDispatcher(c *fakeSender) (*direct.Dispatcher, *servers.Directory) {
+	return newDispatcherWith(c, func(*direct.Options) {})
+}
+
+func newDispatcherWith(c *fakeSender, change func(*direct.Options)) (*direct.Dispatcher, *servers.Directory) {
 	cfg, dir := declared.New(), servers.New()
 	cfg.Apply(amaranthtide.Configuration{Revision: 1, Services: []amaranthtide.ServiceSpec{{Name: "llm", Engine: true}, {Name: "app"}}})
 	var all []amaranthtide.Instance
@@ -89,11 +100,12 @@
 		}
 	}
 	dir.Set(all)
-	d := direct.New(direct.Options{
+	opts := direct.Options{
 		VM: "vm-1", Zone: "a", Configuration: cfg, Servers: dir, Traffic: traffic.New(), AttemptSender: c,
 		Cap: choice.Cap{Multiple: 2, Extra: 2}, Retries: shared.Limit{Ratio: 0.2, Slack: 40, Window: 10 * time.Second},
-	})
-	return d, dir
+	}
+	change(&opts)
+	return direct.New(opts), dir
 }
 
 func request(service amaranthtide.ServiceName, chat string, atMostOnce bool) *amaranthtide.Request {
