coordination/quarantine, transport/crashes: a part of prompts that crashes servers is not sent on

The cause: an attempt that crashed its server counted as a failure of the server, never as a sign about the request. A router now quarantines a part once three servers crashed with it, with two different prompts, and no answer since; an answer clears it, the request that had begun to be answered counts before those that waited beside it, and parts that were never answered and always came together are rejected only together (found by the model test: a fresh fleet rejected the sound requests with the first part).

Its fake now keeps crashed servers down: before, they served again at once, which a restart can't.

--- /dev/null
+++ b/coordination/quarantine/ledger_test.go
@@ -0,0 +1,124 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthtide"
+	"amaranthtide/coordination/quarantine"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func crash(at time.Time, server string, begun bool, parts ...amaranthtide.PromptPart) amaranthtide.ServerCrash {
+	return amaranthtide.ServerCrash{
+		Service: "pool", Server: amaranthtide.BackendServerName(server), At: at, Prompt: quarantine.HashPrompt(parts), Parts: parts, Begun: begun,
+	}
+}
+
+func firstRouter(amaranthtide.PromptPart) int { return 0 }
+
+func rejects(l *quarantine.Ledger, now time.Time, parts ...amaranthtide.PromptPart) bool {
+	return l.Check(now, quarantine.HashPrompt(parts), parts, firstRouter).Reject
+}
+
+// quarantinedLedger returns a ledger in which the part "bad" is quarantined after crashes in the
+// three seconds after start.
+func quarantinedLedger() *quarantine.Ledger {
+	l := quarantine.New("pool")
+	for i := range 3 {
+		at := start.Add(time.Duration(i+1) * time.Second)
+		l.Answered(at, at.Add(-2*time.Second), []amaranthtide.PromptPart{"base", "own"})
+		l.Crashed(at, crash(at, fmt.Sprintf("e%d", i), true, "base", "bad", amaranthtide.PromptPart(fmt.Sprintf("x%d", i))))
+	}
+	return l
+}
+
+// Guards against a part that goes on crashing servers, and against the rejection of requests that
+// share only the other parts.
+func TestPartIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	l := quarantinedLedger()
+	now := start.Add(4 * time.Second)
+	is.True(rejects(l, now, "base", "bad", "new"))
+	is.True(!rejects(l, now, "base", "new"))
+	is.Equal(len(l.Quarantined(now)), 1)
+}
+
+// Guards against a part that is rejected because one request with it was sent to several servers
+// that crashed, and against a request that crashes one server after the other.
+func TestRepeatedRequestIsRejectedAlone(t *testing.T) {
+	is := is.New(t)
+	l := quarantine.New("pool")
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * time.Second)
+		is.Equal(rejects(l, at, "base", "rare", "x"), i >= 2)
+		l.Crashed(at, crash(at, fmt.Sprintf("e%d", i), true, "base", "rare", "x"))
+	}
+	is.True(!rejects(l, start.Add(3*time.Second), "base", "rare", "y"))
+	is.True(!rejects(l, start.Add(20*time.Second), "base", "rare", "x"))
+}
+
+// Guards against the rejection of most requests after many servers crashed at the same time for a
+// reason of their own.
+func TestPartInCommonUseSurvivesCrashesAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := quarantine.New("pool")
+	l.Answered(start, start.Add(-2*time.Second), []amaranthtide.PromptPart{"base", "own"})
+	for i := range 10 {
+		l.Crashed(start, crash(start, fmt.Sprintf("e%d", i), false, "base", amaranthtide.PromptPart(fmt.Sprintf("x%d", i))))
+	}
+	is.True(!rejects(l, start.Add(time.Second), "base", "y"))
+}
+
+// Guards against a sound part that is rejected because its requests waited at servers that other
+// requests crashed.
+func TestWaitingRequestsAreNotTheCause(t *testing.T) {
+	is := is.New(t)
+	l := quarantine.New("pool")
+	for i := range 4 {
+		at := start.Add(time.Duration(i) * time.Second)
+		server := fmt.Sprintf("e%d", i)
+		l.Crashed(at, crash(at, server, false, "waiting", amaranthtide.PromptPart(fmt.Sprintf("w%d", i))))
+		l.Crashed(at, crash(at, server, true, "bad", amaranthtide.PromptPart(fmt.Sprintf("x%d", i))))
+	}
+	now := start.Add(5 * time.Second)
+	is.True(!rejects(l, now, "waiting", "new"))
+	is.True(rejects(l, now, "bad", "new"))
+}
+
+// Guards against a part that stays rejected although servers answer requests with it.
+func TestAnswerEndsQuarantine(t *testing.T) {
+	is := is.New(t)
+	l := quarantinedLedger()
+	now := start.Add(4 * time.Second)
+	ch := l.Answered(now, start.Add(2*time.Second), []amaranthtide.PromptPart{"bad", "own"})
+	is.Equal(len(ch.Released), 0) // that answer had begun before the last crash
+	ch = l.Answered(now, now, []amaranthtide.PromptPart{"bad", "own"})
+	is.Equal(len(ch.Released), 1)
+	is.True(!rejects(l, now, "base", "bad", "new"))
+}
+
+// Guards against a fleet whose routers all try a quarantined part again at once, and against
+// quarantines that don't get longer.
+func TestTrialsAfterQuarantine(t *testing.T) {
+	is := is.New(t)
+	l := quarantinedLedger()
+	end := start.Add(63 * time.Second)
+	parts := []amaranthtide.PromptPart{"bad", "new"}
+	check := func(now time.Time, position int) quarantine.Decision {
+		return l.Check(now, quarantine.HashPrompt(parts), parts, func(amaranthtide.PromptPart) int { return position })
+	}
+	is.True(check(end.Add(-time.Millisecond), 0).Reject)
+	is.Equal(check(end.Add(time.Second), 2).Until, end.Add(4*time.Second))
+	is.True(!check(end.Add(time.Second), 0).Reject)
+	is.True(check(end.Add(2*time.Second), 0).Reject) // the result of the trial is awaited
+	ch := l.Crashed(end.Add(2*time.Second), crash(end.Add(2*time.Second), "e9", true, parts...))
+	is.Equal(len(ch.Quarantined), 1)
+	is.Equal(ch.Quarantined[0].Level, 2)
+	is.True(check(end.Add(2*time.Minute), 0).Reject)
+	is.True(!check(end.Add(2*time.Minute+3*time.Second), 0).Reject)
+}
--- a/id.go
+++ b/id.go
@@ -41,6 +41,10 @@
 // chat. Requests that share the part have the same identifier.
 type PromptPart string
 
+// PromptHash is a hash over all parts of a prompt. A request that the caller sends again has
+// the hash of the first one.
+type PromptHash uint64
+
 // RequestID identifies a caller's request across all its attempts.
 type RequestID string
 
--- a/kind.go
+++ b/kind.go
@@ -49,6 +49,7 @@
 	KindZoneOut
 	KindNotOwner
 	KindLeaving
+	KindQuarantined
 	KindShuttingDown
 	KindDeadlineUnmet
 	KindNoBackend
@@ -95,6 +96,7 @@
 	KindZoneOut:          {"zoneOut", http.StatusServiceUnavailable, RanNo, time.Second},
 	KindNotOwner:         {"notOwner", http.StatusServiceUnavailable, RanNo, time.Second},
 	KindLeaving:          {"leaving", http.StatusServiceUnavailable, RanNo, time.Second},
+	KindQuarantined:      {"quarantined", http.StatusServiceUnavailable, RanNo, 10 * time.Second},
 	KindShuttingDown:     {"shuttingDown", http.StatusServiceUnavailable, RanNo, time.Second},
 	KindDeadlineUnmet:    {"deadlineUnmet", http.StatusServiceUnavailable, RanNo, 2 * time.Second},
 	KindNoBackend:        {"noBackend", http.StatusServiceUnavailable, RanNo, 2 * time.Second},
--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -30,6 +30,10 @@
 	// begunAt is when the current attempt delivered the first bytes of its body; zero if it
 	// has not.
 	begunAt time.Time
+	// sound is set once the current attempt has shown that the request doesn't crash its
+	// server, which onSound reports.
+	sound   bool
+	onSound func(now time.Time)
 	// phase is the phase of the current attempt. The attempt sender and the start timer
 	// change it concurrently.
 	phase   atomic.Int32
@@ -93,8 +97,12 @@
 
 // Chunk implements amaranthtide.AnswerWriter.
 func (a *answer) Chunk(b []byte) error {
+	now := time.Now()
 	if a.begunAt.IsZero() {
-		a.begunAt = time.Now()
+		a.begunAt = now
+	}
+	if now.Sub(a.begunAt) > youngAnswer {
+		a.markSound(now)
 	}
 	if a.deferring {
 		a.deferred.body = append(a.deferred.body, b...)
@@ -136,3 +144,12 @@
 	}
 	return a.w.Chunk(a.deferred.body)
 }
+
+// markSound reports that the request doesn't crash its server, once for each attempt.
+func (a *answer) markSound(now time.Time) {
+	if a.sound || a.begunAt.IsZero() || a.serverFailed {
+		return
+	}
+	a.sound = true
+	a.onSound(now)
+}
--- a/transport/direct/crash.go
+++ b/transport/direct/crash.go
@@ -20,8 +20,10 @@
 		return
 	}
 	r.dispatcher.crashes.Add(1)
+	begun := amaranthtide.IsKind(err, amaranthtide.KindTruncated)
+	r.dispatcher.opts.Crashes.Crashed(time.Now(), r.req, in.Name, begun)
 	r.dispatcher.opts.Logger.Warn("server crashed", "request", string(r.req.ID), "server", string(in.Name), "service", string(in.Service),
-		"prompt", promptText(r.req.PromptParts), "begun", amaranthtide.IsKind(err, amaranthtide.KindTruncated))
+		"prompt", promptText(r.req.PromptParts), "begun", begun)
 }
 
 // mayBeCrash reports whether err is the broken connection of an attempt that its server had
--- a/transport/direct/crash_test.go
+++ b/transport/direct/crash_test.go
@@ -14,7 +14,7 @@
 )
 
 // crashingServers is a fake of servers that crash on requests with the part "bad" in their
-// prompts. It implements amaranthtide.ServerProber.
+// prompts, and stay down. It implements amaranthtide.ServerProber.
 type crashingServers struct {
 	mu      sync.Mutex
 	crashes int
@@ -24,7 +24,9 @@
 func (c *crashingServers) answer(_ context.Context, a amaranthtide.Attempt, _ amaranthtide.AnswerWriter) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.down.Remove(a.Address) // it was restarted
+	if c.down.Has(a.Address) {
+		return amaranthtide.Errorf(amaranthtide.KindNoBackend, "connect to server %s: connection refused", a.Server)
+	}
 	if !slices.Contains(a.Request.PromptParts, "bad") {
 		return nil
 	}
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -34,6 +34,7 @@
 	"amaranthtide/state/servers"
 	"amaranthtide/state/shard"
 	"amaranthtide/state/traffic"
+	"amaranthtide/transport/crashes"
 )
 
 // assumedRouters is the number of routers assumed until the registry has been read. If all
@@ -41,8 +42,8 @@
 // budget of the whole fleet.
 const assumedRouters = 256
 
-// Options are the dependencies and settings of a Dispatcher. All but Prober, Observe and Logger
-// are required.
+// Options are the dependencies and settings of a Dispatcher. All but Prober, Crashes, Observe
+// and Logger are required.
 type Options struct {
 	VM            amaranthtide.VMName
 	Zone          amaranthtide.ZoneName
@@ -53,6 +54,8 @@
 	// Prober tells whether a server that broke off an answer has crashed; nil if that is not
 	// known of any server.
 	Prober amaranthtide.ServerProber
+	// Crashes knows the requests that crash servers; nil means that none does.
+	Crashes *crashes.Tracker
 	// Cap limits the load of an engine. SetCap replaces it.
 	Cap choice.Cap
 	// Retries limits the retries of one service over the whole fleet.
@@ -87,6 +90,9 @@
 	if opts.Logger == nil {
 		opts.Logger = hclog.NewNullLogger()
 	}
+	if opts.Crashes == nil {
+		opts.Crashes = crashes.New(crashes.Options{VM: opts.VM, Logger: opts.Logger})
+	}
 	if opts.Observe == nil {
 		opts.Observe = func(*amaranthtide.Request, error) {}
 	}
@@ -107,6 +113,7 @@
 
 // SetRouters replaces the set of known routers, which includes this one.
 func (d *Dispatcher) SetRouters(routers []amaranthtide.VMName) {
+	d.opts.Crashes.SetRouters(routers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.coldLimiter.SetRouters(routers)
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -46,7 +46,11 @@
 
 func (r *requestRun) serve(ctx context.Context) error {
 	r.answer.w, r.answer.resumable, r.answer.stream = r.w, r.req.Resumable, r.req.Stream
+	r.answer.onSound = func(now time.Time) { r.dispatcher.opts.Crashes.Answered(now, r.answer.begunAt, r.req) }
 	for {
+		if err := r.dispatcher.opts.Crashes.Check(time.Now(), r.req); err != nil {
+			return r.finishFailed(err)
+		}
 		in, err := r.dispatcher.pickServer(time.Now(), r.req, r.spec, r.tried, r.unreachableZones)
 		if err != nil {
 			return r.finishFailed(err)
@@ -78,8 +82,11 @@
 	if r.spec.Engine {
 		attempt.FetchFrom = r.dispatcher.promptSource(time.Now(), r.req, in)
 	}
-	r.answer.begunAt = time.Time{}
+	r.answer.begunAt, r.answer.sound = time.Time{}, false
 	err := r.sendWithStartTimeout(ctx, in.Name, attempt)
+	if err == nil {
+		r.answer.markSound(time.Now())
+	}
 	if err == nil && r.answer.deferring {
 		err = amaranthtide.Errorf(amaranthtide.KindBackendFailed, "server %s answered status %d", in.Name, r.answer.deferred.head.Status)
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"amaranthtide/state/feed"
 	"amaranthtide/state/servers"
 	"amaranthtide/state/traffic"
+	"amaranthtide/transport/crashes"
 	"amaranthtide/transport/direct"
 	"amaranthtide/transport/follow"
 	"amaranthtide/transport/ingress"
@@ -120,6 +121,7 @@
 	configuration *declared.Configuration
 	servers       *servers.Directory
 	dispatcher    *direct.Dispatcher
+	crashes       *crashes.Tracker
 	follower      *follow.Follower
 	mesh          *mesh.Mesh
 	peers         *peers.Exchange
@@ -166,9 +168,10 @@
 	if err := g.registerGauges(); err != nil {
 		return err
 	}
+	g.crashes = crashes.New(crashes.Options{VM: opts.Entry.VM, Logger: logger.Named("crashes")})
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: trafficCounter,
-		AttemptSender: opts.NewAttemptSender(trafficCounter), Prober: opts.ServerProber, Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
+		AttemptSender: opts.NewAttemptSender(trafficCounter), Prober: opts.ServerProber, Crashes: g.crashes, Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		VM: opts.Entry.VM, Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.PolledTable, opts.DeclaredTable, opts.RegistryTable}, PolledTable: opts.PolledTable,
@@ -209,6 +212,7 @@
 	}{
 		"amaranthtide.configuration.revision": {"Revision of the configuration in force.", func() int64 { return int64(g.configuration.Revision()) }},
 		"amaranthtide.servers":                {"Backend servers that may get work.", func() int64 { return int64(g.servers.Len()) }},
+		"amaranthtide.quarantined.parts":      {"Parts of prompts whose requests are rejected because they crash servers.", func() int64 { return g.crashes.Quarantined(time.Now()) }},
 		"amaranthtide.feeds.away":             {"Tables of the platform's feed that can't be read.", func() int64 { return g.unreadableTables(time.Now()) }},
 		"amaranthtide.feed.view.age":          {"Milliseconds since the platform's feed last confirmed this router's view; -1 if it never has.", func() int64 { return g.viewAgeMillis(time.Now()) }},
 		"amaranthtide.feed.reading":           {"1 if this router reads the platform's feed and the feed answers.", func() int64 { return g.reading(time.Now()) }},
