transport/peers, protocol/message: routers share what they know about requests that crash servers

Reports of loads now carry a hash over the evidence, and a router sends all of it to those neighbors in the tree of reports that show another hash: each part of the fleet has it within three report intervals, also a router that starts later, and nothing is sent while all have the same.

--- a/protocol/message/control.go
+++ b/protocol/message/control.go
@@ -18,6 +18,8 @@
 	TopicLoads     = "loads"
 	TopicZoneLoads = "zoneLoads"
 	TopicTotals    = "totals"
+	// TopicCrashEvidence is for what routers know about requests that crash servers.
+	TopicCrashEvidence = "crashes"
 )
 
 // Control is the envelope of a control message.
--- a/protocol/message/load_report.go
+++ b/protocol/message/load_report.go
@@ -16,6 +16,7 @@
 	Hubs            []string
 	Loads           []ServerInFlight
 	LinkMegabits    uint32
+	EvidenceHash    uint64
 }
 
 // ServerInFlight is the number of requests in flight at one server in a LoadReport.
@@ -40,6 +41,7 @@
 		VM: string(r.From.VM), Zone: string(r.From.Zone), Address: addressBytes(r.From.Address),
 		Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
 		DeclaredVersion: uint64(r.DeclaredVersion), RegistryVersion: uint64(r.RegistryVersion), Hubs: hubs, Loads: loads, LinkMegabits: clampCount(r.From.LinkMegabits),
+		EvidenceHash: uint64(r.EvidenceHash),
 	}
 }
 
@@ -61,6 +63,7 @@
 		From:        amaranthtide.RouterEntry{VM: amaranthtide.VMName(m.VM), Zone: amaranthtide.ZoneName(m.Zone), Address: addr, LinkMegabits: int(m.LinkMegabits)},
 		Incarnation: amaranthtide.Incarnation(m.Incarnation), Sequence: m.Sequence,
 		DeclaredVersion: amaranthtide.RowVersion(m.DeclaredVersion), RegistryVersion: amaranthtide.RowVersion(m.RegistryVersion), Hubs: hubs, Loads: loads,
+		EvidenceHash: amaranthtide.EvidenceHash(m.EvidenceHash),
 	}, nil
 }
 
--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -68,13 +68,20 @@
 
 	loads := amaranthtide.LoadReport{
 		From:        amaranthtide.RouterEntry{VM: "vm-1", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:7000")},
-		Incarnation: 3, Sequence: 1 << 40, DeclaredVersion: 5, RegistryVersion: 6, Hubs: []amaranthtide.VMName{"vm-9"},
+		Incarnation: 3, Sequence: 1 << 40, DeclaredVersion: 5, RegistryVersion: 6, Hubs: []amaranthtide.VMName{"vm-9"}, EvidenceHash: 1 << 63,
 		Loads: []amaranthtide.ServerLoad{{Server: "e1", InFlight: 7}},
 	}
 	gotLoads, err := roundTrip(t, message.NewLoadReport(loads)).ToDomain()
 	is.NoErr(err)
 	is.Equal(gotLoads, loads)
 
+	evidence := amaranthtide.CrashEvidence{
+		Crashes:     []amaranthtide.ServerCrash{{Service: "pool", Server: "e1", At: now, Prompt: 1 << 63, Parts: []amaranthtide.PromptPart{"base", "x"}, Begun: true}},
+		Answers:     []amaranthtide.PartAnswer{{Service: "pool", Part: "base", At: now.Add(-time.Second)}},
+		Quarantines: []amaranthtide.Quarantine{{Service: "pool", Part: "x", Companions: []amaranthtide.PromptPart{"y"}, LastCrash: now.Add(-time.Hour), Level: 2}},
+	}
+	is.Equal(roundTrip(t, message.NewCrashEvidence(now, "vm-1", 7, evidence)).ToDomain(now), evidence)
+
 	changes := []amaranthtide.Change{
 		{Revision: 6, Time: now.Add(3 * time.Millisecond), Operator: "op", Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, After: amaranthtide.Zone{OutOfService: true}},
 		{Revision: 7, Time: now, Operator: "op", Key: amaranthtide.RowKey{Kind: amaranthtide.RowZone, Name: "a"}, Before: amaranthtide.Zone{OutOfService: true}},
@@ -202,6 +209,7 @@
 		message.NewForward(now, "e", &amaranthtide.Request{Header: make([]amaranthtide.HeaderField, 1), Body: []byte("b")}, 9),
 		message.NewEnd(1, errors.New("x")), &message.Changes{Entries: make([]message.LogEntry, 2)},
 		message.NewHeartbeat(heartbeat.Heartbeat{VM: "v", Loads: make([]amaranthtide.ServerLoad, 2)}),
+		message.NewCrashEvidence(now, "v", 1, amaranthtide.CrashEvidence{Crashes: make([]amaranthtide.ServerCrash, 2), Answers: make([]amaranthtide.PartAnswer, 1)}),
 		message.NewProof(make([]byte, message.NonceSize), netip.MustParseAddrPort("127.0.0.1:1")),
 	} {
 		data, err := message.Append(nil, m)
@@ -215,7 +223,7 @@
 		for _, m := range []message.Message{
 			&message.Report{}, &message.Heartbeat{}, &message.ReportRequest{}, &message.Digest{}, &message.LoadReport{}, &message.Changes{}, &message.ChangesRequest{}, &message.Forward{},
 			&message.Window{}, &message.Cancel{}, &message.Head{}, &message.End{}, &message.Control{},
-			&message.Challenge{}, &message.Proof{}, &message.Welcome{},
+			&message.Challenge{}, &message.Proof{}, &message.Welcome{}, &message.CrashEvidence{},
 		} {
 			if message.Decode(data, m) != nil {
 				continue
--- a/request.go
+++ b/request.go
@@ -159,6 +159,8 @@
 	// RegistryVersion is the highest version of any row that the router has received of
 	// the table of registered routers.
 	RegistryVersion RowVersion
+	// EvidenceHash is the hash over the router's CrashEvidence.
+	EvidenceHash EvidenceHash
 	// Hubs are the hubs of other zones from which the router receives reports.
 	Hubs []VMName
 	// Loads sets only Server and InFlight of each entry.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -181,7 +181,7 @@
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: opts.Seeds, Mesh: g.mesh,
 		Traffic: trafficCounter, Follower: g.follower, Rows: feedTables, PolledTable: opts.PolledTable, DeclaredTable: opts.DeclaredTable, RegistryTable: opts.RegistryTable,
-		Registrar: opts.Registrar, OnRoutersChanged: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
+		Registrar: opts.Registrar, Evidence: g.crashes, OnRoutersChanged: g.dispatcher.SetRouters, Logger: logger.Named("peers"),
 	})
 	if err := g.peers.Start(); err != nil {
 		return err
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -14,6 +14,10 @@
 // whose hub doesn't answer its reports switches to the next router in that order and probes
 // the unresponsive one from time to time.
 //
+// What the routers know about requests that crash servers travels along the same tree: each
+// report carries a hash over it, and a router sends all that it knows to those of its neighbors
+// that report another hash.
+//
 // Routers are discovered through the registry, which is a table of the feed, through the
 // settings and through the messages that they send.
 //
@@ -104,6 +108,8 @@
 	DeclaredTable amaranthtide.FeedTable
 	RegistryTable amaranthtide.FeedTable
 	Registrar     amaranthtide.Registrar
+	// Evidence is what this router knows about requests that crash servers.
+	Evidence Evidence
 	// OnRoutersChanged is called with all known routers whenever the set may have changed.
 	OnRoutersChanged func([]amaranthtide.VMName)
 	Logger           hclog.Logger
@@ -172,6 +178,7 @@
 	handlers := map[string]func(*watermill.Message){
 		message.TopicLoads: e.handleLoads, message.TopicZoneLoads: e.handleZoneLoads, message.TopicTotals: e.handleTotals,
 		message.TopicRowsRequest: e.handleRowsRequest, message.TopicRows: e.handleRows,
+		message.TopicCrashEvidence: e.handleEvidence,
 	}
 	for topic, handle := range handlers {
 		messages, err := sub.Subscribe(e.ctx, topic)
@@ -211,6 +218,7 @@
 			e.sendReport(now)
 			e.sendTotals(now)
 			e.sendZoneLoads(now)
+			e.sendEvidence(now)
 			e.requestRows(now)
 			e.forgetRouters(now)
 			e.opts.Traffic.Forget(now.Add(-forgetAge))
--- a/transport/peers/exchange_test.go
+++ b/transport/peers/exchange_test.go
@@ -14,6 +14,7 @@
 	"amaranthtide/protocol/message"
 	"amaranthtide/state/feed"
 	"amaranthtide/state/traffic"
+	"amaranthtide/transport/crashes"
 	"amaranthtide/transport/mesh"
 	"amaranthtide/transport/peers"
 )
@@ -122,7 +123,7 @@
 	e := peers.New(peers.Options{
 		Self: amaranthtide.RouterEntry{VM: name, Zone: "a", Address: addr}, Incarnation: 1, Mesh: n, Traffic: traffic.New(),
 		Follower: f, Rows: feed.New(), PolledTable: serversTable, DeclaredTable: operatorTable, RegistryTable: registryTable,
-		Registrar: registrar{}, OnRoutersChanged: func([]amaranthtide.VMName) {},
+		Registrar: registrar{}, Evidence: crashes.New(crashes.Options{}), OnRoutersChanged: func([]amaranthtide.VMName) {},
 	})
 	if err := e.Start(); err != nil {
 		t.Fatal(err)
--- a/transport/peers/loads.go
+++ b/transport/peers/loads.go
@@ -31,11 +31,12 @@
 
 // newReport returns a report with the given loads and the next sequence number. The caller
 // holds mu.
-func (e *Exchange) newReport(loads []amaranthtide.ServerLoad) amaranthtide.LoadReport {
+func (e *Exchange) newReport(now time.Time, loads []amaranthtide.ServerLoad) amaranthtide.LoadReport {
 	e.sequence++
 	return amaranthtide.LoadReport{
 		From: e.opts.Self, Incarnation: e.opts.Incarnation, Sequence: e.sequence,
 		DeclaredVersion: e.opts.Rows.MaxRowVersion(e.opts.DeclaredTable), RegistryVersion: e.opts.Rows.MaxRowVersion(e.opts.RegistryTable), Loads: loads,
+		EvidenceHash: e.opts.Evidence.Hash(now),
 	}
 }
 
@@ -48,9 +49,9 @@
 	e.mu.Lock()
 	hub, minInterval := e.currentHub(now), reportInterval(len(e.zoneRouters()))
 	probes := e.addresses(e.suspectsToProbe(now)...)
-	probe := e.newReport(nil)
-	report := e.newReport(loads)
-	unchanged := slices.Equal(loads, e.report.Loads) && report.DeclaredVersion == e.report.DeclaredVersion && report.RegistryVersion == e.report.RegistryVersion
+	probe := e.newReport(now, nil)
+	report := e.newReport(now, loads)
+	unchanged := slices.Equal(loads, e.report.Loads) && report.DeclaredVersion == e.report.DeclaredVersion && report.RegistryVersion == e.report.RegistryVersion && report.EvidenceHash == e.report.EvidenceHash
 	if !due(now, e.reportSentAt, minInterval) || unchanged && !due(now, e.reportSentAt, heartbeatInterval) {
 		e.mu.Unlock()
 		e.publish(message.TopicLoads, message.NewLoadReport(probe), probes)
@@ -97,7 +98,7 @@
 		return
 	}
 	addrs := e.addresses(to...)
-	report := e.newReport(nil)
+	report := e.newReport(now, nil)
 	report.Hubs = e.remoteHubs
 	if isHub {
 		report.Hubs = e.liveRemoteHubs(now)
@@ -130,7 +131,7 @@
 	}
 	e.zoneLoadsSentAt = now
 	to := e.remoteHubAddresses(now)
-	report := e.newReport(nil)
+	report := e.newReport(now, nil)
 	e.mu.Unlock()
 	report.Loads = traffic.Highest(e.opts.Traffic.SubtreeLoads(now), maxZoneLoads)
 	e.publish(message.TopicZoneLoads, message.NewLoadReport(report), to)
@@ -187,6 +188,9 @@
 		updateSender(&entry)
 		e.routers[r.From.VM] = entry
 	}
+	sender := e.routers[r.From.VM]
+	sender.evidenceHash = r.EvidenceHash
+	e.routers[r.From.VM] = sender
 	// Until the registry has been read, the known routers may be a fraction of the fleet,
 	// so they are not reported to OnRoutersChanged.
 	var names []amaranthtide.VMName
--- a/transport/peers/routers.go
+++ b/transport/peers/routers.go
@@ -38,6 +38,10 @@
 	lastZoneLoadsAt time.Time
 	// lastRequestAt is when the router last requested rows.
 	lastRequestAt time.Time
+	// evidenceHash is the hash over the router's evidence that it last reported,
+	// evidenceSent the one that was last sent to it, at evidenceSentAt.
+	evidenceHash, evidenceSent amaranthtide.EvidenceHash
+	evidenceSentAt             time.Time
 	// unsolicitedTotalsAt is when the router was last sent totals without reporting here.
 	unsolicitedTotalsAt time.Time
 }
--- a/transport/peers/tree_test.go
+++ b/transport/peers/tree_test.go
@@ -20,6 +20,7 @@
 	"amaranthtide/state/feed"
 	"amaranthtide/state/servers"
 	"amaranthtide/state/traffic"
+	"amaranthtide/transport/crashes"
 	"amaranthtide/transport/follow"
 	"amaranthtide/transport/mesh"
 	"amaranthtide/transport/peers"
@@ -57,12 +58,13 @@
 
 // node is the peers.Mesh of one router and its client of the registry.
 type node struct {
-	fleet  *fleet
-	entry  amaranthtide.RouterEntry
-	topics map[string]chan *watermill.Message
-	load   *traffic.Counter
-	rows   *feed.Tables
-	follow *follow.Follower
+	fleet   *fleet
+	entry   amaranthtide.RouterEntry
+	topics  map[string]chan *watermill.Message
+	load    *traffic.Counter
+	rows    *feed.Tables
+	follow  *follow.Follower
+	crashes *crashes.Tracker
 	*peers.Exchange
 
 	mu    sync.Mutex
@@ -192,7 +194,7 @@
 func (f *fleet) start(t *testing.T, zone string, i int, seeds ...netip.AddrPort) *node {
 	t.Helper()
 	n := &node{
-		fleet: f, topics: make(map[string]chan *watermill.Message), load: traffic.New(),
+		fleet: f, topics: make(map[string]chan *watermill.Message), load: traffic.New(), crashes: crashes.New(crashes.Options{}),
 		entry: amaranthtide.RouterEntry{
 			VM: amaranthtide.VMName(fmt.Sprintf("vm-%s%d", zone, i)), Zone: amaranthtide.ZoneName(zone),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, zone[0], 0, byte(i)}), 7000),
@@ -216,7 +218,7 @@
 	n.Exchange = peers.New(peers.Options{
 		Self: n.entry, Incarnation: amaranthtide.Incarnation(time.Now().UnixNano()), Seeds: seeds, Mesh: n, Traffic: n.load,
 		Follower: n.follow, Rows: n.rows, PolledTable: serversTable, DeclaredTable: operatorTable, RegistryTable: registryTable,
-		Registrar: n, OnRoutersChanged: n.setNames,
+		Registrar: n, Evidence: n.crashes, OnRoutersChanged: n.setNames,
 	})
 	f.mu.Lock()
 	f.nodes[n.entry.Address] = n
@@ -244,6 +246,17 @@
 	}
 }
 
+// bytesSent returns the number of bytes that all routers have sent.
+func (f *fleet) bytesSent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, n := range f.bytes {
+		sum += n
+	}
+	return sum
+}
+
 func (f *fleet) setFeedDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
