transport/engine, transport/service: a refusal on a reused connection must name its attempt

An answer on a connection that has carried another request now counts only if it names the attempt; otherwise the request may have run.

TestRepeatedRefusalDoesNotAnswerNextRequest failed before (KindFull for a request that was read and not answered).

--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -20,7 +20,9 @@
 
 // Names of HTTP headers, in canonical form.
 const (
-	// HeaderAttempt carries the attempt identifier; an engine echoes it in its response.
+	// HeaderAttempt carries the attempt identifier; an engine echoes it in each response, a
+	// refusal included. On a connection that has carried another request, a refusal without it
+	// proves nothing.
 	HeaderAttempt = "Amaranthtide-Attempt"
 	// HeaderNotRun is "true" in a refusal of a request that was not and will not be run.
 	HeaderNotRun = "Amaranthtide-Not-Run"
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -45,7 +45,10 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func refuse(w http.ResponseWriter, kind amaranthtide.Kind) {
+func refuse(w http.ResponseWriter, r *http.Request, kind amaranthtide.Kind) {
+	if attempt := r.Header.Get(wire.HeaderAttempt); attempt != "" {
+		w.Header().Set(wire.HeaderAttempt, attempt)
+	}
 	w.Header().Set(wire.HeaderNotRun, "true")
 	w.Header().Set(wire.HeaderReason, kind.String())
 	w.WriteHeader(kind.Reply().Status)
@@ -64,7 +67,7 @@
 		return
 	}
 	if s.cfg.Model != "" && req.Model != s.cfg.Model {
-		refuse(w, amaranthtide.KindUnknownModel)
+		refuse(w, r, amaranthtide.KindUnknownModel)
 		return
 	}
 	attempt := amaranthtide.AttemptID(r.Header.Get(wire.HeaderAttempt))
@@ -90,7 +93,7 @@
 		s.stopIfDown()
 		panic(http.ErrAbortHandler)
 	case kind != 0:
-		refuse(w, kind)
+		refuse(w, r, kind)
 		return
 	}
 	s.wakeLoop()
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -85,11 +85,16 @@
 func (c *Client) Serve(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := c.post(ctx, addr, req)
+	resp, conn, err := c.post(ctx, addr, req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !conn.Answers(resp, wire.HeaderAttempt, req.Attempt) {
+		// It may be a late copy of the answer to the request before. This request may be running.
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: answer of attempt %q, want %q",
+			addr, resp.Header.Get(wire.HeaderAttempt), req.Attempt)
+	}
 	if err := httpclient.Refusal(resp, wire.HeaderNotRun, wire.HeaderReason); err != nil {
 		return err
 	}
@@ -155,11 +160,11 @@
 	}
 }
 
-// post sends the request and returns the head of its answer.
-func (c *Client) post(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request) (*http.Response, error) {
+// post sends the request and returns the head of an answer, and the connection that it came on.
+func (c *Client) post(ctx context.Context, addr netip.AddrPort, req *amaranthtide.Request) (*http.Response, httpclient.Connection, error) {
 	r, err := httpclient.NewRequest(ctx, http.MethodPost, addr, completionsPath, "", req.Body)
 	if err != nil {
-		return nil, err
+		return nil, httpclient.Connection{}, err
 	}
 	httpclient.CopyHeader(r.Header, req.Header)
 	// The caller's credentials are meant for the router only. With an idempotency key,
@@ -172,20 +177,20 @@
 	if req.Class == amaranthtide.ClassQuick {
 		r.Header[wire.HeaderPriority] = []string{"1"}
 	}
-	resp, connected, err := httpclient.RoundTrip(c.transport, r)
+	resp, conn, err := httpclient.RoundTrip(c.transport, r)
 	switch {
 	case err == nil:
-		return resp, nil
-	case !connected:
+		return resp, conn, nil
+	case !conn.Established:
 		if errors.Is(ctx.Err(), context.Canceled) {
-			return nil, amaranthtide.Errorf(amaranthtide.KindCanceled, "engine %v: %w", addr, err)
+			return nil, conn, amaranthtide.Errorf(amaranthtide.KindCanceled, "engine %v: %w", addr, err)
 		}
-		return nil, amaranthtide.Errorf(amaranthtide.KindNoBackend, "engine %v: %w", addr, err)
+		return nil, conn, amaranthtide.Errorf(amaranthtide.KindNoBackend, "engine %v: %w", addr, err)
 	default:
 		if ctx.Err() != nil {
 			c.cancelAttempt(ctx, addr, req.Attempt)
 		}
-		return nil, contextError(ctx, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: %w", addr, err))
+		return nil, conn, contextError(ctx, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "engine %v: %w", addr, err))
 	}
 }
 
@@ -207,7 +212,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return httpclient.RoundTrip(c.transport, r)
+	resp, conn, err := httpclient.RoundTrip(c.transport, r)
+	return resp, conn.Established, err
 }
 
 // Load implements amaranthtide.EngineControl. Errors are KindNoBackend if there was no
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -1,11 +1,13 @@
 package engine_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -430,3 +432,42 @@
 		t.Errorf("second got: %s, want: quick", got)
 	}
 }
+
+// Guards against a server's earlier refusal, written once more on a kept connection, that is taken
+// for the answer to the next request: its caller would be told that a running request has not run.
+func TestRepeatedRefusalDoesNotAnswerNextRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		r := bufio.NewReader(conn)
+		refusal := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if refusal == "" {
+				refusal = "HTTP/1.1 503 Service Unavailable\r\nAmaranthtide-Not-Run: true\r\nAmaranthtide-Attempt: " +
+					req.Header.Get("Amaranthtide-Attempt") + "\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = io.WriteString(conn, refusal) // also as the answer to the second request, which runs
+		}
+	}()
+	c := engine.New(engine.Config{})
+	defer c.Close()
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	first, second := request(false, 1, "a"), request(false, 1, "b")
+	first.Attempt, second.Attempt = "attempt1", "attempt2"
+	is.True(amaranthtide.IsKind(c.Serve(t.Context(), addr, first, &recorder{}), amaranthtide.KindFull))
+	err = c.Serve(t.Context(), addr, second, &recorder{})
+	is.True(err != nil)
+	is.True(amaranthtide.KindOf(err).Reply().Ran != amaranthtide.RanNo)
+}
--- a/transport/internal/httpclient/httpclient.go
+++ b/transport/internal/httpclient/httpclient.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	t := httpclient.NewTransport(httpclient.Options{})
-//	resp, connected, err := httpclient.RoundTrip(t, req)
-//	if err != nil && !connected {
+//	resp, conn, err := httpclient.RoundTrip(t, req)
+//	if err != nil && !conn.Established {
 //		// Nothing was sent.
 //	}
 package httpclient
@@ -84,13 +84,32 @@
 	return req.WithContext(ctx), nil
 }
 
-// RoundTrip sends req and reports whether it had a connection. If not, nothing was
-// sent. It doesn't follow redirects.
-func RoundTrip(transport *http.Transport, req *http.Request) (resp *http.Response, connected bool, err error) {
-	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
+// Connection describes the connection that a request was sent on.
+type Connection struct {
+	// Established is false if there was no connection, so that nothing was sent.
+	Established bool
+	// Reused is set if the connection had carried another request before. A copy of that
+	// request's answer may still arrive on it.
+	Reused bool
+}
+
+// RoundTrip sends req and describes its connection. It doesn't follow redirects.
+func RoundTrip(transport *http.Transport, req *http.Request) (resp *http.Response, conn Connection, err error) {
+	var established, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		established.Store(true)
+		reused.Store(info.Reused)
+	}}
 	resp, err = transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	return resp, gotConn.Load(), err
+	return resp, Connection{Established: established.Load(), Reused: reused.Load()}, err
+}
+
+// Answers reports whether an answer that came on the connection belongs to the attempt: it
+// repeats the attempt in the given header, or names none and the connection has carried no other
+// request.
+func (c Connection) Answers(resp *http.Response, attemptHeader string, attempt amaranthtide.AttemptID) bool {
+	echoed := resp.Header.Get(attemptHeader)
+	return echoed == string(attempt) || echoed == "" && !c.Reused
 }
 
 // hopByHopFields holds the canonical names of the hop-by-hop header fields (RFC 9110,
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -92,9 +92,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, connected, err := httpclient.RoundTrip(c.transport, req)
+	resp, conn, err := httpclient.RoundTrip(c.transport, req)
 	if err != nil {
-		return 0, nil, transportError(connected, err)
+		return 0, nil, transportError(conn.Established, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := httpclient.ReadBody(resp, maxAnswerBytes)
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -65,13 +65,18 @@
 		transport = c.singleUse
 		r.Header["Idempotency-Key"] = []string{string(req.Key)}
 	}
-	resp, connected, err := httpclient.RoundTrip(transport, r)
+	resp, conn, err := httpclient.RoundTrip(transport, r)
 	if err != nil {
-		return requestError(ctx, addr, req, connected, err)
+		return requestError(ctx, addr, req, conn.Established, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := httpclient.Refusal(resp, wire.HeaderNotRun, wire.HeaderReason); err != nil {
-		return err
+	refusal := httpclient.Refusal(resp, wire.HeaderNotRun, wire.HeaderReason)
+	switch echoed := resp.Header.Get(wire.HeaderAttempt); {
+	case echoed != "" && echoed != string(req.Attempt), refusal != nil && !conn.Answers(resp, wire.HeaderAttempt, req.Attempt):
+		// It may be a late copy of the answer to the request before. This request may be running.
+		return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "service %v: answer of attempt %q, want %q", addr, echoed, req.Attempt)
+	case refusal != nil:
+		return refusal
 	}
 	body, err := httpclient.ReadBody(resp, httpclient.MaxBodyBytes)
 	if err != nil {
