transport/direct, protocol/completion: a stream is continued only by later events of the same kind

Errors with a status of their own were kept out before. An answer of status 200 was not: plain text, an answer without a media type, and a body with another head in it were appended and the stream ended as if complete. A continued stream must now have the media type of the first answer, and each event after the point of resumption an identifier after the last one.

--- a/protocol/completion/scanner.go
+++ b/protocol/completion/scanner.go
@@ -21,6 +21,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"amaranthtide"
 )
@@ -48,6 +49,12 @@
 	dataLines int
 	terminal  bool
 	done      bool
+	// fields is the number of lines of the current event that are not comments, and
+	// identified reports whether one of them sets its identifier.
+	fields     int
+	identified bool
+	// resumed is set once the stream was continued on another connection.
+	resumed bool
 	// skipLF is set after a CR, whose line end may include a following LF.
 	skipLF bool
 	// started is set after the first line, which may begin with a byte order mark.
@@ -57,8 +64,10 @@
 // Scan processes the next piece of the stream. It returns the number of bytes up to
 // the end of the last event that ends in p, or 0 if no event ends in p. The bytes after
 // it belong to an incomplete event, or are the LF of a CRLF that was split between two
-// pieces. Scan stops after the terminal event. A line that exceeds MaxLine is an error
-// of KindBackendFailed.
+// pieces. Scan stops after the terminal event. Errors are of KindBackendFailed: a line that
+// exceeds MaxLine and, after Resume, an event that doesn't continue the stream, since it has
+// no identifier or one that is not after the last one. The returned end is valid in that
+// case, too.
 func (s *Scanner) Scan(p []byte) (int, error) {
 	end := 0
 	for pos := 0; pos < len(p) && !s.done; {
@@ -88,6 +97,9 @@
 		}
 		pos += i + 1
 		s.skipLF = rest[i] == '\r'
+		if len(line) == 0 && s.resumed && !s.continues() {
+			return end, amaranthtide.Errorf(amaranthtide.KindBackendFailed, "event with identifier %q after %q in a resumed stream", s.id, s.lastID)
+		}
 		if s.processLine(line) {
 			if s.skipLF && pos < len(p) && p[pos] == '\n' {
 				s.skipLF = false
@@ -113,6 +125,22 @@
 	s.line = s.line[:0]
 	s.id = append(s.id[:0], s.lastID...)
 	s.dataLines, s.terminal, s.skipLF, s.started = 0, false, false, false
+	s.fields, s.identified, s.resumed = 0, false, true
+}
+
+// continues reports whether the event that ends now may follow the last one. A server may
+// ignore the identifier after which it should go on, or answer with something else than the
+// stream.
+func (s *Scanner) continues() bool {
+	if s.fields == 0 || len(s.lastID) == 0 {
+		return true
+	}
+	if !s.identified {
+		return false
+	}
+	id, err := strconv.ParseUint(string(s.id), 10, 64)
+	lastID, lastErr := strconv.ParseUint(string(s.lastID), 10, 64)
+	return err != nil || lastErr != nil || id > lastID
 }
 
 // processLine processes a line without its line end and reports whether it ends an event.
@@ -124,9 +152,13 @@
 	if len(line) == 0 {
 		s.done = s.terminal && s.dataLines == 1
 		s.dataLines, s.terminal = 0, false
+		s.fields, s.identified = 0, false
 		s.lastID = append(s.lastID[:0], s.id...)
 		return true
 	}
+	if line[0] != ':' {
+		s.fields++
+	}
 	// Checking the first byte and the field name avoids a search for the colon in every
 	// line.
 	switch line[0] {
@@ -138,6 +170,7 @@
 	case 'i':
 		if v, ok := fieldValue(line, "id"); ok && bytes.IndexByte(v, 0) < 0 {
 			s.id = append(s.id[:0], v...)
+			s.identified = true
 		}
 	}
 	return false
--- a/protocol/completion/scanner_test.go
+++ b/protocol/completion/scanner_test.go
@@ -160,3 +160,30 @@
 	is.True(parse(first) != parse(`{"role":"system","content":"s"},{"role":"user","content":"v"}`))
 	is.True(parse(`{"role":"system","content":"su"}`) != parse(first))
 }
+
+// Guards against text that is no part of a stream, or events that were already delivered, after the
+// point at which the stream was continued on another connection.
+func TestResumedStreamContinues(t *testing.T) {
+	for next, want := range map[string]string{
+		"id: 3\ndata: c\n\n":                              "id: 3\ndata: c\n\n",
+		": comment\n\nid: 3\ndata: c\n\n":                 ": comment\n\nid: 3\ndata: c\n\n",
+		"id: 3\ndata: c\n\nerror\n\n":                     "id: 3\ndata: c\n\n",
+		"error\n\n":                                       "",
+		"HTTP/1.1 500 Internal Server Error\r\n\r\n":      "",
+		"id: 2\ndata: b\n\n":                              "",
+		"id: 3\ndata: c\n\nid: 3\ndata: c\n\n":            "id: 3\ndata: c\n\n",
+		"data: no identifier\n\n":                         "",
+		"id: a\ndata: identifiers may be of any form\n\n": "id: a\ndata: identifiers may be of any form\n\n",
+	} {
+		var s completion.Scanner
+		_, err := s.Scan([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Resume()
+		end, err := s.Scan([]byte(next))
+		if next[:end] != want || (err != nil) != (want != next) {
+			t.Errorf("%q: got: %q, %v, want: %q", next, next[:end], err, want)
+		}
+	}
+}
--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	// serverFailed is set if the server answered the current attempt with a failure.
 	serverFailed bool
 	headSent     bool
+	// mediaType is the media type of the answer that was passed on.
+	mediaType string
 	// begunAt is when the current attempt delivered the first bytes of its body; zero if it
 	// has not.
 	begunAt time.Time
@@ -73,6 +76,9 @@
 		if h.Status != http.StatusOK {
 			return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "status %d for a resumed stream", h.Status)
 		}
+		if got := mediaType(h); got != a.mediaType {
+			return amaranthtide.Errorf(amaranthtide.KindBackendFailed, "media type %q for a resumed stream of type %q", got, a.mediaType)
+		}
 		a.partialEvent = a.partialEvent[:0]
 		a.scanner.Resume()
 		return nil
@@ -81,7 +87,7 @@
 		a.deferred, a.deferring = &deferredAnswer{head: h}, true
 		return nil
 	}
-	a.headSent, a.deferred = true, nil
+	a.headSent, a.deferred, a.mediaType = true, nil, mediaType(h)
 	return a.w.Head(h)
 }
 
@@ -117,20 +123,22 @@
 // writeEvents passes on complete events only, so that another server can resume the stream
 // after the last of them.
 func (a *answer) writeEvents(b []byte) error {
-	end, err := a.scanner.Scan(b)
-	if err != nil {
-		return err
-	}
+	end, scanErr := a.scanner.Scan(b)
 	if end == 0 {
-		a.partialEvent = append(a.partialEvent, b...)
-		return nil
+		if scanErr == nil {
+			a.partialEvent = append(a.partialEvent, b...)
+		}
+		return scanErr
 	}
 	complete := b[:end]
 	if len(a.partialEvent) > 0 {
 		complete = slices.Concat(a.partialEvent, complete)
 	}
 	a.partialEvent = append(a.partialEvent[:0], b[end:]...)
-	return a.w.Chunk(complete)
+	if err := a.w.Chunk(complete); err != nil {
+		return err
+	}
+	return scanErr
 }
 
 // endsWithinEvent reports whether the current attempt has passed an incomplete event of a
@@ -153,3 +161,15 @@
 	a.sound = true
 	a.onSound(now)
 }
+
+// mediaType returns the media type of an answer without its parameters, empty if it names
+// none.
+func mediaType(h amaranthtide.AnswerHead) string {
+	for _, f := range h.Header {
+		if strings.EqualFold(f.Name, "Content-Type") {
+			name, _, _ := strings.Cut(f.Value, ";")
+			return strings.ToLower(strings.TrimSpace(name))
+		}
+	}
+	return ""
+}
