coordination/outlier, transport/direct, platform: servers that leave or ask for a pause get nothing

Neither was read: a router learned of leaving from the list alone, and sent on to a server in its pause. What an answer says now counts at once in the router that received it, whatever the list shows, and ends only with a new start of the server. It is part of the record of failing servers: unlike an avoided server, one that pauses or leaves gets nothing also if no other one is left; after a pause a router returns within a spread time and with one request per 50 ms for a second. A request that no server takes waits for a pause that ends soon, and is otherwise rejected at once with the time at which one reopens.

Our own protocol doesn't have the two notices yet.

--- a/coordination/outlier/record.go
+++ b/coordination/outlier/record.go
@@ -6,6 +6,9 @@
 // further failure is enough to avoid it again. Avoided servers are still used if no
 // other one is left.
 //
+// A server that asks for a pause, or says that it leaves, gets nothing, also if no other one is
+// left. After a pause, routers return one after the other and with few requests first.
+//
 // # Usage
 //
 //	var r outlier.Record // one per server
@@ -13,6 +16,9 @@
 //	r.Unreachable(now)
 //	r.Failed(now)
 //	r.Succeeded(now)
+//	r.Pause(now, started, 3*time.Second, rand.Float64())
+//	r.Leave(started)
+//	if !r.Admit(now, started) { ... }
 //
 // The zero value of Record is ready to use. A Record is not safe for concurrent use.
 package outlier
@@ -41,6 +47,16 @@
 	failureShare float64
 	backoff      time.Duration
 	avoidUntil   time.Time
+
+	// leaving is set once the server has said that it leaves; leavingStarted is the start of
+	// the server that said so.
+	leaving        bool
+	leavingStarted time.Time
+	// goneAt is when the server was removed from the list; zero if it was not.
+	goneAt time.Time
+	// pausedUntil is the end of the pause that the server with the start pauseStarted asked
+	// for, nextReturn the time from which it gets the next request.
+	pausedUntil, nextReturn, pauseStarted time.Time
 }
 
 // Avoid reports whether requests should be sent to other servers.
--- a/instance.go
+++ b/instance.go
@@ -26,6 +26,8 @@
 	Request *Request
 	Server  BackendServerName
 	Address netip.AddrPort
+	// Started is the server's Instance.Started.
+	Started time.Time
 	// Deadline is when the server may abandon the request.
 	Deadline time.Time
 	// FetchFrom is the address of a server that may have the prompt cached and from
@@ -67,8 +69,22 @@
 	Refuses(ctx context.Context, addr netip.AddrPort) bool
 }
 
-// ServerObserver receives the loads that servers report in their answers.
+// ServerNotice is what a server says of itself in the head of an answer, besides its load.
+type ServerNotice struct {
+	// Started is the start of the server that the answer came from, as the list shows it.
+	Started time.Time
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
+	// Pause is how long the server wants no requests from this router; 0 is no pause.
+	Pause time.Duration
+	// Invalid describes a value that has no meaning and was ignored; empty if there is none.
+	Invalid string
+}
+
+// ServerObserver receives what servers report in their answers.
 type ServerObserver interface {
+	// ServerNoticed is called with a notice in the head of an answer.
+	ServerNoticed(now time.Time, server BackendServerName, n ServerNotice)
 	// ServerReported is called with the report in the head of an answer.
 	ServerReported(now time.Time, server BackendServerName, r ServerReport)
 }
--- a/state/traffic/traffic.go
+++ b/state/traffic/traffic.go
@@ -39,7 +39,7 @@
 )
 
 // Counter holds the loads of backend servers. It is safe for concurrent use. Create one
-// with New. It implements amaranthtide.ServerObserver.
+// with New.
 type Counter struct {
 	// own holds the requests in flight through this router.
 	own *shard.Map[amaranthtide.BackendServerName, int]
@@ -253,7 +253,7 @@
 	}
 }
 
-// ServerReported implements amaranthtide.ServerObserver.
+// ServerReported implements a part of amaranthtide.ServerObserver.
 func (c *Counter) ServerReported(now time.Time, server amaranthtide.BackendServerName, r amaranthtide.ServerReport) {
 	c.serverReports.Set(server, receivedServerReport{now, r.InFlight + r.Waiting})
 }
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -122,7 +122,7 @@
 
 // ServerGone drops the state of a server that was removed from the list.
 func (d *Dispatcher) ServerGone(name amaranthtide.BackendServerName) {
-	d.serverRecords.Delete(name)
+	d.forgetRecord(name)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.coldLimiter.Forget(name)
@@ -165,7 +165,7 @@
 		if !ok {
 			break
 		}
-		if in := candidates[i].Instance; d.admitCold(now, in, spec) {
+		if in := candidates[i].Instance; d.admitReturn(now, in) && d.admitCold(now, in, spec) {
 			d.opts.Logger.Info("request placed", "request", string(req.ID), "attempt", len(tried)+1, "server", string(in.Name),
 				"prompt", promptText(req.PromptParts), "zone", string(in.Zone), "load", candidates[i].Load, "avoided", candidates[i].Avoid, "cold", now.Before(in.ColdUntil),
 				"candidates", len(candidates), "revision", uint64(d.opts.Configuration.Revision()))
@@ -195,7 +195,8 @@
 	}
 	var engines []choice.Candidate
 	for _, in := range d.opts.Servers.ByService(req.Service) {
-		engines = append(engines, choice.Candidate{Instance: in, Avoid: d.shouldAvoid(now, in)})
+		at, _ := d.reopens(now, in)
+		engines = append(engines, choice.Candidate{Instance: in, Avoid: d.shouldAvoid(now, in) || now.Before(at)})
 	}
 	from, ok := choice.PromptSource(now, req.Chat, to, engines)
 	if !ok {
@@ -233,6 +234,9 @@
 		if tried.Has(in.Name) || in.Leaving || d.opts.Servers.ZoneOutOfService(in.Zone) {
 			continue
 		}
+		if at, ok := d.reopens(now, in); !ok || now.Before(at) {
+			continue
+		}
 		out = append(out, choice.Candidate{Instance: in, Load: d.opts.Traffic.Load(now, in.Name), Avoid: d.shouldAvoid(now, in)})
 	}
 	return out
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -52,8 +52,11 @@
 			return r.finishFailed(err)
 		}
 		in, err := r.dispatcher.pickServer(time.Now(), r.req, r.spec, r.tried, r.unreachableZones)
+		if err != nil && r.awaitReturn(ctx) {
+			continue
+		}
 		if err != nil {
-			return r.finishFailed(err)
+			return r.finishFailed(r.withReturn(time.Now(), err))
 		}
 		r.tried.Add(in.Name)
 		r.answer.deferFailure = r.mayRepeat(1)
@@ -76,7 +79,7 @@
 	defer r.dispatcher.opts.Traffic.End(in.Name)
 	r.req.Attempt = amaranthtide.NewAttemptID()
 	attempt := amaranthtide.Attempt{
-		Request: r.req, Server: in.Name, Address: in.Address, Deadline: r.req.Deadline, ResumeAfter: r.answer.lastEventID(),
+		Request: r.req, Server: in.Name, Address: in.Address, Started: in.Started, Deadline: r.req.Deadline, ResumeAfter: r.answer.lastEventID(),
 	}
 	attempt.KeepIdle = reuse.KeepCount(r.spec.Connections, int(r.dispatcher.routerCount.Load()))
 	if r.spec.Engine {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -171,7 +171,7 @@
 	g.crashes = crashes.New(crashes.Options{VM: opts.Entry.VM, Logger: logger.Named("crashes")})
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: trafficCounter,
-		AttemptSender: opts.NewAttemptSender(trafficCounter), Prober: opts.ServerProber, Crashes: g.crashes, Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
+		AttemptSender: opts.NewAttemptSender(&serverObserver{Counter: trafficCounter, gateway: g}), Prober: opts.ServerProber, Crashes: g.crashes, Cap: opts.EngineLoadCap, Retries: opts.RetryLimit, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		VM: opts.Entry.VM, Feed: opts.Feed, Decoder: opts.Decoder, Tables: []amaranthtide.FeedTable{opts.PolledTable, opts.DeclaredTable, opts.RegistryTable}, PolledTable: opts.PolledTable,
