--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -40,6 +40,7 @@
 	// leftAt is the time at which the server began to leave, or zero if it did not. outAt
 	// is the time at which its zone was taken out of service, or zero if it is in service.
 	leftAt, outAt time.Time
+	notices       notices
 	// random chooses the outcomes of requests.
 	random *rand.Rand
 }
@@ -78,6 +79,7 @@
 	out := s.zonesOut[zone]
 	s.mu.Unlock()
 	b := &backend{Server: standin.NewServer(name), name: name, service: service, zone: zone, soak: s, outAt: out, random: random}
+	b.notices.forget()
 	var err error
 	if b.link, err = newLink(b.Addr()); err != nil {
 		b.Close()
@@ -103,8 +105,14 @@
 
 // serve checks that the router was allowed to send the request and responds to it.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	if b.checkNotices(time.Now(), w, r) {
+		return
+	}
 	b.checkArrival(time.Now(), r)
 	result, late := b.drawOutcome()
+	if w.Header().Get(standin.HeaderLeaving) != "" {
+		result = outcomeOK // the router gets the head that says so
+	}
 	switch result {
 	case outcomeError:
 		w.WriteHeader(http.StatusInternalServerError)
--- a/cmd/internal/soak/doc.go
+++ b/cmd/internal/soak/doc.go
@@ -5,8 +5,8 @@
 // Faults are chosen at random from a seed: signals that stop, kill, freeze, resume and
 // reload routers; a store that refuses calls or drops its history of changes; links to
 // servers, between routers and from one router to the store that delay or drop data or
-// reset connections; servers that leave and are replaced, and that fail, abort or delay
-// some of their answers; changes of the configuration and of zones. Faults overlap and
+// reset connections; servers that leave and are replaced, that say in their answers that
+// they leave or want a pause, and that fail, abort or delay some of their answers; changes of the configuration and of zones. Faults overlap and
 // repeat. Only processes that the soak started are signalled, by their process ids.
 //
 // # Usage
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -72,9 +72,17 @@
 	}},
 	{"serverLink", func(s *soak, ctx context.Context, random *rand.Rand) {
 		b := s.randomBackend(random)
+		b.setLinkFaulty(true)
 		b.link.setFault(linkFault(1 + random.IntN(int(linkFaultCount)-1)))
 		s.pause(ctx, random, 500*time.Millisecond, 4*time.Second)
 		b.link.setFault(linkOK)
+		b.setLinkFaulty(false)
+	}},
+	{"pauseServer", func(s *soak, ctx context.Context, random *rand.Rand) {
+		s.pauseServer(ctx, random)
+	}},
+	{"announceLeaving", func(s *soak, ctx context.Context, random *rand.Rand) {
+		s.announceLeaving(ctx, random)
 	}},
 	{"replaceServer", func(s *soak, ctx context.Context, random *rand.Rand) {
 		s.replaceServer(ctx, random)
@@ -150,7 +158,11 @@
 // replaceServer starts a new server and makes a random one of the same service and zone
 // leave.
 func (s *soak) replaceServer(ctx context.Context, random *rand.Rand) {
-	old := s.randomBackend(random)
+	s.replaceBackend(ctx, random, s.randomBackend(random))
+}
+
+// replaceBackend starts a server in the place of old, which leaves.
+func (s *soak) replaceBackend(ctx context.Context, random *rand.Rand, old *backend) {
 	fresh, err := s.newBackend(old.service, old.zone)
 	if err != nil {
 		s.addViolation(time.Now(), "soak", "start server: %v", err)
--- a/transport/direct/pause.go
+++ b/transport/direct/pause.go
@@ -86,7 +86,7 @@
 	return earliest, ok
 }
 
-// awaitReturn waits for the first server that pauses, if that is worth the wait.
+// awaitReturn waits until the first server that pauses reopens, if that is soon.
 func (r *requestRun) awaitReturn(ctx context.Context) bool {
 	now := time.Now()
 	at, ok := r.dispatcher.earliestReturn(now, r.req.Service, r.tried)
