--- a/review/cmd/planned/main.go
+++ b/review/cmd/planned/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"review/rig"
@@ -18,14 +17,13 @@
 const (
 	routers = 3
 	clients = 36
-	grace   = 8 * time.Second
 	// lateRequest and lastSixth are the bounds of the excuse in the rule: a request that was sent
 	// no later than lateRequest after the SIGTERM and whose server was still at work lastSixth
 	// after it.
 	lateRequest = 3 * time.Second
-	lastSixth   = grace * 5 / 6
+	lastSixth   = rig.Grace * 5 / 6
 	// planned is how long after the SIGTERM planned work lasts.
-	planned  = grace + time.Second
+	planned  = rig.Grace + time.Second
 	deadline = 12 * time.Second
 	// Streams last from minStream to maxStream, with an event each eventPause.
 	minStream  = 2500 * time.Millisecond
@@ -35,14 +33,6 @@
 	betweenEnd = 4 * time.Second
 )
 
-// fleet tracks which routers get new connections, as the platform's ingress does.
-type fleet struct {
-	site    *rig.Site
-	inUse   [routers]atomic.Bool
-	termAt  [routers]atomic.Int64 // Unix nanoseconds of the last SIGTERM
-	stopped atomic.Bool
-}
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -70,64 +60,19 @@
 		fmt.Println(err)
 		return rig.NotRun
 	}
-	f := &fleet{site: site}
-	for i := range f.inUse {
-		f.inUse[i].Store(true)
-	}
-	go f.watchReady()
-	c := &check{record: record, fleet: f, ends: ends}
+	rotation := rig.NewRotation(site)
+	c := &check{record: record, rotation: rotation, ends: ends}
 	var wg sync.WaitGroup
 	for n := range clients {
 		wg.Go(func() { c.client(n) })
 	}
 	time.Sleep(warmUp)
-	f.restartAll(record)
-	f.stopped.Store(true)
+	rotation.RestartAll(betweenEnd)
+	rotation.Stop()
 	wg.Wait()
 	return c.verdict()
 }
 
-// restartAll stops and starts the routers in turn; without the disruption, it only waits.
-func (f *fleet) restartAll(record *rig.Record) {
-	for i, r := range f.site.Fleet.Routers {
-		if !rig.Trouble() {
-			time.Sleep(grace + betweenEnd)
-			continue
-		}
-		record.Printf("SIGTERM of %s", r.Name)
-		f.termAt[i].Store(time.Now().UnixNano())
-		r.Signal(syscall.SIGTERM)
-		kill := time.AfterFunc(grace, func() { r.Signal(syscall.SIGKILL) })
-		_ = r.Wait()
-		kill.Stop()
-		record.Printf("%s has ended", r.Name)
-		if err := f.site.Fleet.Start(i, rig.RouterSettings{Zone: rig.Zones[i%3], Store: f.site.Store.Addr}); err != nil {
-			record.Printf("%s: %v", r.Name, err)
-		}
-		time.Sleep(betweenEnd)
-	}
-}
-
-// watchReady asks each router once a second; two misses take it out.
-func (f *fleet) watchReady() {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	misses := [routers]int{}
-	for !f.stopped.Load() {
-		for i, r := range f.site.Fleet.Routers {
-			resp, err := client.Get("http://" + r.Ready + "/-/ready")
-			ok := err == nil && resp.StatusCode == http.StatusOK
-			if err == nil {
-				resp.Body.Close()
-			}
-			if misses[i]++; ok {
-				misses[i] = 0
-			}
-			f.inUse[i].Store(misses[i] < 2)
-		}
-		time.Sleep(time.Second)
-	}
-}
-
 // serverEnds records when the servers ended their work on requests, and whether to the end.
 type serverEnds struct {
 	mu sync.Mutex
@@ -167,9 +112,9 @@
 
 // check counts what the callers saw.
 type check struct {
-	record *rig.Record
-	fleet  *fleet
-	ends   *serverEnds
+	record   *rig.Record
+	rotation *rig.Rotation
+	ends     *serverEnds
 
 	whole, lost, excused, refused, other atomic.Int64
 }
@@ -177,21 +122,18 @@
 func (c *check) client(n int) {
 	var conn *rig.Conn
 	router := 0
-	for k := 0; !c.fleet.stopped.Load(); k++ {
+	for k := 0; !c.rotation.Stopped(); k++ {
 		if conn == nil {
-			router = (router + n) % routers
-			for !c.fleet.inUse[router].Load() {
-				router = (router + 1) % routers
-			}
+			router = c.rotation.Next(router + n)
 			var err error
-			if conn, err = rig.Dial(c.fleet.site.Fleet.Routers[router].Callers); err != nil {
+			if conn, err = rig.Dial(c.rotation.Router(router).Callers); err != nil {
 				time.Sleep(100 * time.Millisecond)
 				continue
 			}
 		}
 		id := fmt.Sprintf("%08x%08x", n, k)
 		sent := time.Now()
-		c.record.Printf("client %d sends %s to %s", n, id, c.fleet.site.Fleet.Routers[router].Name)
+		c.record.Printf("client %d sends %s to %s", n, id, c.rotation.Router(router).Name)
 		a := conn.Do(request(id, n), deadline)
 		c.record.Printf("client %d gets for %s: %v", n, id, a)
 		c.judge(router, id, sent, time.Now(), a)
@@ -220,7 +162,7 @@
 	}
 	time.Sleep(50 * time.Millisecond) // the server notices the close
 	workEnded, passedOn := c.ends.end(id)
-	term := time.Unix(0, c.fleet.termAt[router].Load())
+	term := c.rotation.TermAt(router)
 	switch {
 	case !passedOn, ended.Sub(sent) >= deadline, ended.Before(term), ended.Sub(term) > planned:
 		c.other.Add(1)
@@ -228,7 +170,7 @@
 		c.excused.Add(1)
 	default:
 		c.lost.Add(1)
-		c.record.Printf("LOST: %s was sent %.2f s and cut %.2f s after the SIGTERM of %s", id, sent.Sub(term).Seconds(), ended.Sub(term).Seconds(), c.fleet.site.Fleet.Routers[router].Name)
+		c.record.Printf("LOST: %s was sent %.2f s and cut %.2f s after the SIGTERM of %s", id, sent.Sub(term).Seconds(), ended.Sub(term).Seconds(), c.rotation.Router(router).Name)
 	}
 }
 
@@ -246,6 +188,8 @@
 }
 
 func request(id string, client int) []byte {
-	body := `{"text":"appraisal"}`
-	return fmt.Appendf(nil, "POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nModel: m\r\nToken-Count: 1300,480\r\nPrompt-Prefix: 5c1e%04x:1000,%s:300\r\nDeadline-Ms: %d\r\nCredential: %s\r\nContent-Length: %d\r\n\r\n%s", rig.Host, id, client, id, deadline.Milliseconds(), rig.Key, len(body), body)
+	return rig.Request{
+		Path: "/lohu930/2f", ID: id, Deadline: deadline, Tokens: "1300,480",
+		Prompt: fmt.Sprintf("5c1e%04x:1000,%s:300", client, id), Body: `{"text":"appraisal"}`,
+	}.Encode()
 }
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -68,7 +68,7 @@
 	case a.Err != nil:
 		return fmt.Sprintf("incomplete answer: %d, %d bytes, %v", a.Status, len(a.Body), a.Err)
 	}
-	return fmt.Sprintf("%d, stamp %q, %d bytes", a.Status, a.Header.Get("Response-Stamp"), len(a.Body))
+	return fmt.Sprintf("%d, stamp %q, %d bytes", a.Status, a.Header.Get(Names.Stamp), len(a.Body))
 }
 
 // ClosedWithoutAnswer reports whether the connection ended before anything of the answer came.
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -127,7 +127,7 @@
 		}
 	}
 	r.cmd = exec.Command("target/amaranthtidegw")
-	r.cmd.Env = []string{"AMARANTHTIDE_NODE_FILE=" + r.file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	r.cmd.Env = []string{Names.SettingsFile + "=" + r.file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return r.cmd.Start()
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -40,7 +40,7 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if r.Header.Get("Expect-Instance") != s.ID {
+	if r.Header.Get(Names.Expected) != s.ID {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -49,7 +49,7 @@
 	s.runs[id]++
 	s.mu.Unlock()
 	s.record.Printf("server %s runs %s (%s %s, Last-Event-Id %q)", s.ID, id, r.Method, r.URL.Path, r.Header.Get("Last-Event-Id"))
-	w.Header().Set("Response-Stamp", s.Stamp())
+	w.Header().Set(Names.Stamp, s.Stamp())
 	s.Handle(w, r)
 }
 
@@ -64,6 +64,6 @@
 func (s *Server) Entry(slots int) map[string]any {
 	return map[string]any{
 		"service": s.Service, "address": s.Addr, "zone": s.Zone, "version": "v1", "slots": slots, "state": "ready",
-		"cold_left_ms": 0, "stage": "both", "seq": 1, "born": time.Now().UnixMilli(),
+		Names.ColdLeft: 0, "stage": "both", "seq": 1, "born": time.Now().UnixMilli(),
 	}
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -20,7 +20,7 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// maxPageRows is the largest number of rows in an answer to rows-get.
+// maxPageRows is the largest number of rows in an answer to a read of a table.
 const maxPageRows = 500
 
 // Store is a stand-in for the platform's metadata store: rows with versions from one counter,
@@ -43,9 +43,9 @@
 	}
 	s := &Store{Addr: l.Addr().String(), changed: make(chan struct{}), started: time.Now()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/rows-get", s.get)
-	mux.HandleFunc("GET /-/rows-feed", s.feed)
-	mux.HandleFunc("POST /-/rows-tx", s.tx)
+	mux.HandleFunc("GET "+Names.RowsGet, s.get)
+	mux.HandleFunc("GET "+Names.RowsFeed, s.feed)
+	mux.HandleFunc("POST "+Names.RowsTx, s.tx)
 	go func() { _ = http.Serve(l, mux) }()
 	return s, nil
 }
