--- a/review/cmd/uploads/main.go
+++ b/review/cmd/uploads/main.go
@@ -14,7 +14,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"review/rig"
@@ -42,8 +41,6 @@
 	// three times.
 	allowedEnds     = 2
 	allowedMachines = 1
-	memoryPoll      = 5 * time.Millisecond
-	restartDelay    = 500 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -75,11 +72,8 @@
 		return rig.NotRun
 	}
 	var stopped, hot atomic.Bool
-	p := &platform{site: site, record: record, stopped: &stopped}
+	p := rig.NewMemoryLimit(site, memoryMB)
 	var wg sync.WaitGroup
-	for i := range routers {
-		wg.Go(func() { p.watchMemory(i) })
-	}
 	var answered, refused, failed, unanswered atomic.Int64
 	body := strings.Repeat("x", bodyBytes)
 	for i := range routers {
@@ -121,20 +115,15 @@
 	}
 	stopped.Store(true)
 	wg.Wait()
-	machines := 0
-	for i := range p.ends {
-		if p.ends[i] > allowedEnds {
-			machines++
-		}
-	}
-	text := fmt.Sprintf("%d answered 200, %d refused, %d failures, %d have run and got no answer; peak memory %v MB, %v ends by the memory limit of %d MB",
-		answered.Load(), refused.Load(), failed.Load(), unanswered.Load(), p.peak, p.ends, memoryMB)
+	p.Stop()
+	text := fmt.Sprintf("%d answered 200, %d refused, %d failures, %d have run and got no answer; %s",
+		answered.Load(), refused.Load(), failed.Load(), unanswered.Load(), p)
 	fmt.Println(text)
 	record.Printf("%s", text)
 	switch {
 	case answered.Load() == 0:
 		return rig.NotRun
-	case machines > allowedMachines:
+	case p.Machines(allowedEnds) > allowedMachines:
 		return rig.Broken
 	}
 	return rig.Held
@@ -207,47 +196,3 @@
 	w.Header().Set(rig.Names.NotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// platform plays the memory limit.
-type platform struct {
-	site    *rig.Site
-	record  *rig.Record
-	stopped *atomic.Bool
-	// ends and peak hold, for each router, how often it exceeded the limit and its highest use.
-	ends, peak [routers]int
-}
-
-func (p *platform) watchMemory(i int) {
-	r := p.site.Fleet.Routers[i]
-	for ; !p.stopped.Load(); time.Sleep(memoryPoll) {
-		use := residentMB(r.Pid())
-		p.peak[i] = max(p.peak[i], use)
-		if use <= memoryMB {
-			continue
-		}
-		p.ends[i]++
-		p.record.Printf("%s uses %d MB and is killed", r.Name, use)
-		r.Signal(syscall.SIGKILL)
-		_ = r.Wait()
-		time.Sleep(restartDelay)
-		if err := p.site.Fleet.Start(i, rig.RouterSettings{Zone: rig.Zones[i%3], Store: p.site.Store.Addr, MemoryMB: memoryMB}); err != nil {
-			p.record.Printf("%s: %v", r.Name, err)
-			return
-		}
-	}
-}
-
-// residentMB returns the memory that the process uses.
-func residentMB(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return kb >> 10
-		}
-	}
-	return 0
-}
