--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -49,7 +49,7 @@
 	}
 	return map[string]any{
 		"version": version, "routes": rs, "services": ss,
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{
 			{"name": Tenant, "api_keys": []string{Key}, "priority": 1},
 			{"name": LargeTenant, "api_keys": []string{LargeKey}, "priority": 1},
