--- a/review/second/deadly.go
+++ b/review/second/deadly.go
@@ -148,7 +148,7 @@
 }
 
 func (d *deadlyRun) send(id string, router int, prompt string) answer {
-	return send(address(d.routers[router].ip, portFront), request{
+	return send(d.routers[router].front(), request{
 		id: id, method: "POST", path: "/appraisal/x", body: "entry", deadline: 3 * time.Second,
 		headers: map[string]string{wire.Tokens: "2401,24", wire.Prompt: prompt},
 	})
@@ -237,7 +237,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		for _, ro := range r.routers {
-			if err := ro.start(); err != nil {
+			if err := r.launch(ro); err != nil {
 				return nil, err
 			}
 		}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -61,8 +62,22 @@
 	subnet  string
 	deploy  deployment
 	store   *store
-	routers []*router
 	servers []*server
+
+	// mu guards the routers and closed, after which none is started any more.
+	mu      sync.Mutex
+	routers []*router
+	closed  bool
+}
+
+// launch starts the process of a router, unless the case has ended.
+func (r *rig) launch(ro *router) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return fmt.Errorf("the case has ended")
+	}
+	return ro.start()
 }
 
 // play runs a case and returns the exit status.
@@ -129,17 +144,23 @@
 
 // startRouters starts n routers, spread over three zones, and waits until they are ready.
 func (r *rig) startRouters(n int) error {
-	f := fleetSettings{dir: r.dir, store: r.store.addr}
+	p, err := freePorts(r.ip(1))
+	if err != nil {
+		return err
+	}
+	f := fleetSettings{dir: r.dir, store: r.store.addr, ports: p}
 	for i := range min(n, 3) {
-		f.seeds = append(f.seeds, address(r.ip(10+i), portControl))
+		f.seeds = append(f.seeds, address(r.ip(10+i), p.control))
 	}
 	for i := range n {
 		ro, err := r.deploy.newRouter(fmt.Sprintf("front-%d", i+1), zones[i%len(zones)], r.ip(10+i), f, r.rec)
 		if err != nil {
 			return err
 		}
+		r.mu.Lock()
 		r.routers = append(r.routers, ro)
-		if err := ro.start(); err != nil {
+		r.mu.Unlock()
+		if err := r.launch(ro); err != nil {
 			return err
 		}
 	}
@@ -148,6 +169,9 @@
 
 // close ends all that was started. The logs stay only if KEEP names a folder for them.
 func (r *rig) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
 	for _, ro := range r.routers {
 		ro.stop()
 	}
--- a/review/second/router.go
+++ b/review/second/router.go
@@ -13,13 +13,23 @@
 	"time"
 )
 
-// The ports of a router, which are the same on all machines. Each machine has a loopback address of
-// its own.
-const (
-	portFront   = 8227
-	portReady   = 8220
-	portControl = 8229
-)
+// ports are the ports of a router, which are the same on all machines. Each machine has a loopback address
+// of its own.
+type ports struct{ front, ready, control int }
+
+// freePorts returns ports that are free at the address.
+func freePorts(ip string) (ports, error) {
+	var p ports
+	for _, port := range []*int{&p.front, &p.ready, &p.control} {
+		l, err := net.Listen("tcp", address(ip, 0))
+		if err != nil {
+			return p, err
+		}
+		defer l.Close() // at the end, so that the ports differ
+		*port = l.Addr().(*net.TCPAddr).Port
+	}
+	return p, nil
+}
 
 // deployment is what the deploy file says of the routers.
 type deployment struct {
@@ -70,6 +80,7 @@
 // router is one router process.
 type router struct {
 	name, zone, ip string
+	ports          ports
 	settings       string
 	command        []string
 	log            *os.File
@@ -85,13 +96,14 @@
 	dir   string
 	store string
 	seeds []string
+	ports ports
 }
 
 // The bounds are those of the deployment kite-entries.
 func (d deployment) newRouter(name, zone, ip string, f fleetSettings, rec *recorder) (*router, error) {
 	text, err := d.render(map[string]string{
 		"node_name": name, "zone": zone, "ip": ip, "seeds": strings.Join(f.seeds, ","), "provider.address": f.store,
-		"listen.front": address(ip, portFront), "listen.ready_addr": address(ip, portReady), "listen.control": address(ip, portControl),
+		"listen.front": address(ip, f.ports.front), "listen.ready_addr": address(ip, f.ports.ready), "listen.control": address(ip, f.ports.control),
 		"contracts":              "base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform",
 		"bounds.grace_s":         fmt.Sprint(graceSeconds),
 		"bounds.drain_ms":        "2000",
@@ -101,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{name: name, zone: zone, ip: ip, settings: filepath.Join(f.dir, name+".ini"), command: d.command, rec: rec}
+	r := &router{name: name, zone: zone, ip: ip, ports: f.ports, settings: filepath.Join(f.dir, name+".ini"), command: d.command, rec: rec}
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -111,6 +123,9 @@
 
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
+// front returns the address for clients.
+func (r *router) front() string { return address(r.ip, r.ports.front) }
+
 // start starts the process.
 func (r *router) start() error {
 	cmd := exec.Command(r.command[0], r.command[1:]...)
@@ -159,7 +174,7 @@
 
 // ready reports whether the router says that it takes connections.
 func (r *router) ready() bool {
-	conn, err := net.DialTimeout("tcp", address(r.ip, portReady), time.Second)
+	conn, err := net.DialTimeout("tcp", address(r.ip, r.ports.ready), time.Second)
 	if err != nil {
 		return false
 	}
--- a/review/second/unframed.go
+++ b/review/second/unframed.go
@@ -90,7 +90,7 @@
 			}
 			wg.Go(func() {
 				r.rec.printf("client sends %s to %s", q.id, target.name)
-				a := send(address(target.ip, portFront), q)
+				a := send(target.front(), q)
 				events := strings.Count(string(a.body), "\n\n")
 				r.rec.printf("client: %s: %v, %d of %d events, unframed: %v", q.id, a, events, streamEvents, a.unframed)
 				mu.Lock()
