--- a/review/second/deadly.go
+++ b/review/second/deadly.go
@@ -6,13 +6,11 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
 func init() {
-	cases["8"] = playLater
-	cases["9"] = playRestart
+	cases["9"] = playLater
 	cases["10"] = playSlow
 }
 
@@ -26,7 +24,6 @@
 	// deadlyAllowed is how many requests with the part may reach servers later than contact after the
 	// fifth crash.
 	deadlyAllowed = 3
-	deadlyServers = 18
 	fifthCrash    = 5
 	// pauseOfRequests is how long no request has the part.
 	pauseOfRequests = 77 * time.Second
@@ -102,7 +99,7 @@
 func openDeadly(r *rig) (*deadlyRun, error) {
 	d := &deadlyRun{rig: r}
 	r.store.put("op", "config", configuration())
-	for i := range deadlyServers {
+	for i := range poolServers {
 		srv, err := newServer(fmt.Sprintf("i-pool%02d", i+1), servicePool, zones[i%len(zones)], r.ip(100+i), r.store, r.rec, d.handle)
 		if err != nil {
 			return nil, err
@@ -216,42 +213,6 @@
 	return d.checkReached()
 }
 
-// playRestart kills all routers after the first crashes.
-func playRestart(r *rig) ([]string, error) {
-	d, err := openDeadly(r)
-	if err != nil {
-		return nil, err
-	}
-	stop := d.sound()
-	time.Sleep(2 * time.Second)
-	d.wave("first")
-	time.Sleep(8 * time.Second)
-	d.wave("second")
-	time.Sleep(time.Second)
-	if r.trouble {
-		for _, ro := range r.routers {
-			ro.signal(syscall.SIGKILL)
-		}
-		for _, ro := range r.routers {
-			ro.awaitEnd(2 * time.Second)
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, ro := range r.routers {
-			if err := r.launch(ro); err != nil {
-				return nil, err
-			}
-		}
-		if err := awaitReady(r.routers, 15*time.Second); err != nil {
-			return nil, err
-		}
-	}
-	time.Sleep(2 * contact)
-	d.wave("third")
-	time.Sleep(time.Second)
-	stop()
-	return d.checkReached()
-}
-
 // playSlow lets servers crash a little after the first event of their answers.
 func playSlow(r *rig) ([]string, error) {
 	d, err := openDeadly(r)
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -29,8 +29,12 @@
 	statusFailed = 2
 )
 
-// fleetRouters is the number of routers of the deployment kite-entries.
-const fleetRouters = 12
+// fleetRouters and poolServers are the numbers of routers and of model servers of the deployment
+// kite-entries.
+const (
+	fleetRouters = 12
+	poolServers  = 18
+)
 
 // zones are the zones of routers and servers.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
--- a/review/second/router.go
+++ b/review/second/router.go
@@ -153,16 +153,6 @@
 	_ = r.cmd.Process.Signal(s) // fails only if it has ended
 }
 
-// awaitEnd waits until the process has ended, and kills it at the end of the time.
-func (r *router) awaitEnd(limit time.Duration) {
-	select {
-	case <-r.done:
-	case <-time.After(limit):
-		_ = r.cmd.Process.Kill()
-		<-r.done
-	}
-}
-
 // stop ends the process if it runs.
 func (r *router) stop() {
 	if r.cmd != nil {
--- a/review/second/unframed.go
+++ b/review/second/unframed.go
@@ -11,8 +11,8 @@
 )
 
 func init() {
-	cases["6"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGTERM) }
-	cases["7"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGKILL) }
+	cases["7"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGTERM) }
+	cases["8"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGKILL) }
 }
 
 const (
