--- a/review/second/unframed.go
+++ b/review/second/unframed.go
@@ -12,7 +12,7 @@
 
 func init() {
 	cases["7"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGTERM) }
-	cases["8"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGKILL) }
+	cases["kill"] = func(r *rig) ([]string, error) { return playUnframed(r, syscall.SIGKILL) }
 }
 
 const (
