--- a/review/second/client.go
+++ b/review/second/client.go
@@ -14,8 +14,10 @@
 type request struct {
 	id, method, path string
 	headers          map[string]string
-	body             string
-	deadline         time.Duration
+	// key is the client's key; empty means clientKey.
+	key      string
+	body     string
+	deadline time.Duration
 }
 
 // answer is what a client has seen of an answer.
@@ -42,8 +44,12 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(q.deadline))
+	key := q.key
+	if key == "" {
+		key = clientKey
+	}
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n",
-		q.method, q.path, wire.RequestID, q.id, wire.Deadline, q.deadline.Milliseconds(), wire.Credential, clientKey)
+		q.method, q.path, wire.RequestID, q.id, wire.Deadline, q.deadline.Milliseconds(), wire.Credential, key)
 	for name, value := range q.headers {
 		text += name + ": " + value + "\r\n"
 	}
--- a/review/second/config.go
+++ b/review/second/config.go
@@ -9,8 +9,11 @@
 	serviceApp  = "app"
 )
 
-// configuration returns a configuration with routes like those of the deployment kite-entries.
-func configuration() map[string]any {
+// configuration returns the first configuration, with routes like those of the deployment kite-entries.
+func configuration() map[string]any { return configurationOf(7, clientKey) }
+
+// configurationOf returns the configuration of a version with the given keys.
+func configurationOf(version int, keys ...string) map[string]any {
 	route := func(name, kind, service string, timeout, target int, more map[string]any) map[string]any {
 		r := map[string]any{
 			"name": name, "hostname": "shop.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
@@ -22,7 +25,7 @@
 		return r
 	}
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{
 			route("appraisal", "stream", servicePool, 12000, 1000, map[string]any{"sticky": true, "resumable": false, "gap_target_ms": 600}),
 			route("caption", "stream", servicePool, 10000, 500, map[string]any{"sticky": true, "resumable": true, "gap_target_ms": 600, "max_attempts": 2}),
@@ -35,6 +38,6 @@
 			map[string]any{"name": serviceApp, "health_path": "/health", "max_connections": 192, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "club", "api_keys": []any{clientKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "club", "api_keys": keys, "priority": 1}},
 	}
 }
--- a/review/second/deadly.go
+++ b/review/second/deadly.go
@@ -10,8 +10,8 @@
 )
 
 func init() {
-	cases["9"] = playLater
-	cases["10"] = playSlow
+	cases["10"] = playLater
+	cases["slow"] = playSlow
 }
 
 const (
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -152,11 +152,14 @@
 	if err != nil {
 		return err
 	}
-	f := fleetSettings{dir: r.dir, store: r.store.addr, ports: p}
+	f := fleetSettings{dir: r.dir, ports: p}
 	for i := range min(n, 3) {
 		f.seeds = append(f.seeds, address(r.ip(10+i), p.control))
 	}
 	for i := range n {
+		if f.store, err = r.store.listen(r.ip(200 + i)); err != nil {
+			return err
+		}
 		ro, err := r.deploy.newRouter(fmt.Sprintf("front-%d", i+1), zones[i%len(zones)], r.ip(10+i), f, r.rec)
 		if err != nil {
 			return err
--- a/review/second/router.go
+++ b/review/second/router.go
@@ -80,11 +80,13 @@
 // router is one router process.
 type router struct {
 	name, zone, ip string
-	ports          ports
-	settings       string
-	command        []string
-	log            *os.File
-	rec            *recorder
+	// store is the address at which the router calls the store.
+	store    string
+	ports    ports
+	settings string
+	command  []string
+	log      *os.File
+	rec      *recorder
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -113,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{name: name, zone: zone, ip: ip, ports: f.ports, settings: filepath.Join(f.dir, name+".ini"), command: d.command, rec: rec}
+	r := &router{name: name, zone: zone, ip: ip, store: f.store, ports: f.ports, settings: filepath.Join(f.dir, name+".ini"), command: d.command, rec: rec}
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/second/store.go
+++ b/review/second/store.go
@@ -34,6 +34,12 @@
 	ver     uint64
 	rows    map[rowKey]storeRow
 	changed chan struct{}
+	// polls counts the calls for changes of the list of servers, by the address that was called.
+	polls map[string]int
+	// waiting counts the calls that wait for changes of the operator's table, by the same.
+	waiting map[string]int
+	// rejected is the address at which calls for the operator's table get 503; empty if there is none.
+	rejected string
 }
 
 func newStore(ip string) (*store, error) {
@@ -41,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{addr: l.Addr().String(), started: time.Now(), rows: make(map[rowKey]storeRow), changed: make(chan struct{})}
+	s := &store{addr: l.Addr().String(), started: time.Now(), rows: make(map[rowKey]storeRow), changed: make(chan struct{}), polls: make(map[string]int), waiting: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+wire.ReadRows, s.read)
 	mux.HandleFunc("GET "+wire.FeedRows, s.feed)
@@ -51,6 +57,55 @@
 	return s, nil
 }
 
+// listen returns a further address of the store, so that it can tell one machine from the others.
+func (s *store) listen(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = s.server.Serve(l) }() // ends with close
+	return l.Addr().String(), nil
+}
+
+// reject makes the store turn away calls for the operator's table at an address, also those that wait.
+func (s *store) reject(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected = addr
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) endWait(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[addr]--
+}
+
+// waitsOnlyAt reports whether calls for changes of the operator's table wait at no other address.
+func (s *store) waitsOnlyAt(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other, n := range s.waiting {
+		if n > 0 && other != addr {
+			return false
+		}
+	}
+	return s.waiting[addr] > 0
+}
+
+// polled returns the number of calls for changes of the list of servers at an address.
+func (s *store) polled(addr string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.polls[addr]
+}
+
+// calledAt returns the address that a call was sent to.
+func calledAt(r *http.Request) string {
+	return r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+}
+
 func (s *store) close() { _ = s.server.Close() }
 
 // put writes a row as the operator or a server does; a nil value removes it.
@@ -85,6 +140,10 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if q.Get("table") == "op" && calledAt(r) == s.rejected {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var rows []storeRow
 	for k, row := range s.rows {
 		if k.table == q.Get("table") && k.part == q.Get("part") && !row.Deleted && k.key >= q.Get("from") && (q.Get("to") == "" || k.key < q.Get("to")) {
@@ -104,8 +163,22 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	switch q.Get("table") {
+	case "servers":
+		s.polls[calledAt(r)]++
+	case "op":
+		s.waiting[calledAt(r)]++
+		defer s.endWait(calledAt(r))
+	}
+	s.mu.Unlock()
 	for ended := false; ; {
 		s.mu.Lock()
+		if q.Get("table") == "op" && calledAt(r) == s.rejected {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			s.mu.Unlock()
+			return
+		}
 		var rows []storeRow
 		for k, row := range s.rows {
 			if k.table == q.Get("table") && row.Ver > after {
