--- a/review/second/store.go
+++ b/review/second/store.go
@@ -38,8 +38,8 @@
 	polls map[string]int
 	// waiting counts the calls that wait for changes of the operator's table, by the same.
 	waiting map[string]int
-	// rejected is the address at which calls for the operator's table get 503; empty if there is none.
-	rejected string
+	// rejected are the addresses at which calls for the operator's table get 503.
+	rejected map[string]bool
 }
 
 func newStore(ip string) (*store, error) {
@@ -67,11 +67,14 @@
 	return l.Addr().String(), nil
 }
 
-// reject makes the store turn away calls for the operator's table at an address, also those that wait.
-func (s *store) reject(addr string) {
+// reject makes the store turn away calls for the operator's table at the addresses, also those that wait.
+func (s *store) reject(addrs ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejected = addr
+	s.rejected = make(map[string]bool)
+	for _, addr := range addrs {
+		s.rejected[addr] = true
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -82,16 +85,11 @@
 	s.waiting[addr]--
 }
 
-// waitsOnlyAt reports whether calls for changes of the operator's table wait at no other address.
-func (s *store) waitsOnlyAt(addr string) bool {
+// waitingAt returns the number of calls for changes of the operator's table that wait at an address.
+func (s *store) waitingAt(addr string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for other, n := range s.waiting {
-		if n > 0 && other != addr {
-			return false
-		}
-	}
-	return s.waiting[addr] > 0
+	return s.waiting[addr]
 }
 
 // polled returns the number of calls for changes of the list of servers at an address.
@@ -140,7 +138,7 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if q.Get("table") == "op" && calledAt(r) == s.rejected {
+	if q.Get("table") == "op" && s.rejected[calledAt(r)] {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -174,7 +172,7 @@
 	s.mu.Unlock()
 	for ended := false; ; {
 		s.mu.Lock()
-		if q.Get("table") == "op" && calledAt(r) == s.rejected {
+		if q.Get("table") == "op" && s.rejected[calledAt(r)] {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			s.mu.Unlock()
 			return
