transport/upstream: report a reset that the write of the request has met

Callers got the first bytes of an answer without framing as a complete 200 if the server reset the connection while the request was still being sent.

Cause: Linux reports a reset once. If the write of the request gets it, the next read returns the end of the connection, which ends an answer without framing.

Fix: a write records ECONNRESET; a read that meets the end waits for the write in progress, which it ends, and returns the recorded reset. An orderly end comes before its reset, which a write sees as EPIPE, so that such an answer stays complete (TestEndDuringUploadIsAnEnd).

The soak's servers abort half of their answers after a part without framing, by a reset, and its links pass on a reset that the other direction has met.

--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -192,11 +192,28 @@
 	}
 	time.Sleep(workTime)
 	if result == outcomeAborted {
-		panic(http.ErrAbortHandler)
+		b.abort(w, r)
 	}
 	_, _ = fmt.Fprint(w, answerText(r.Header.Get(standin.HeaderRequestID), b.name))
 }
 
+// abort breaks the connection off, for half of the requests after a part of an answer that would end with
+// its connection.
+func (b *backend) abort(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(standin.HeaderRequestID)
+	if hashOf(id)%2 == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the connection is closed already
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n%s", standin.HeaderRequestID, id, standin.HeaderSignature,
+		w.Header().Get(standin.HeaderSignature), id)
+	reset(conn)
+	panic(http.ErrAbortHandler)
+}
+
 func answerText(id, server string) string { return id + " by " + server }
 
 func eventText(id string, n int) string {
--- a/cmd/internal/soak/proxy.go
+++ b/cmd/internal/soak/proxy.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"amaranthtide/protocol/message"
@@ -206,7 +207,10 @@
 	in, out net.Conn
 	// closedDirections counts the directions that have ended. The link's lock guards it.
 	closedDirections int
-	answers          answers
+	// wasReset is set once a read or a write has met a reset, which the system reports to one of them
+	// only. The link's lock guards it.
+	wasReset bool
+	answers  answers
 }
 
 // loop copies data in one direction. Once it has dropped data, it drops all
@@ -254,9 +258,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p.closedDirections++
+	p.wasReset = p.wasReset || errors.Is(err, syscall.ECONNRESET)
 	switch tcp, ok := dst.(*net.TCPConn); {
 	case p.closedDirections == 2:
 		delete(l.passages, p)
+		if p.wasReset && !runsOn {
+			reset(p.in)
+			reset(p.out)
+			return
+		}
 		_ = p.in.Close()
 		_ = p.out.Close()
 	case silent:
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -44,7 +44,7 @@
 type connection struct {
 	pool   *Pool
 	addr   netip.AddrPort
-	tcp    *net.TCPConn
+	tcp    *socketConn
 	source *boundedReader
 	reader *bufio.Reader
 	// requests counts the requests that were sent on the connection, and carried remembers the last ones.
@@ -74,8 +74,9 @@
 		return nil, amaranthtide.Errorf(amaranthtide.KindInternal, "connection to %v has type %T, want *net.TCPConn", addr, conn)
 	}
 	p.open.Add(1)
-	source := &boundedReader{Reader: tcp, remaining: unbounded}
-	return &connection{pool: p, addr: addr, tcp: tcp, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), lastUsed: time.Now()}, nil
+	sc := &socketConn{TCPConn: tcp}
+	source := &boundedReader{Reader: sc, remaining: unbounded}
+	return &connection{pool: p, addr: addr, tcp: sc, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), lastUsed: time.Now()}, nil
 }
 
 // boundedReader fails once a number of bytes have been read. Whoever parses a head holds it
@@ -127,7 +128,7 @@
 // isUsable reports whether an idle connection is still open and has no unread bytes.
 // Such bytes would belong to no request.
 func (c *connection) isUsable() bool {
-	return c.reader.Buffered() == 0 && socket.Peek(c.tcp) == socket.Empty
+	return c.reader.Buffered() == 0 && socket.Peek(c.tcp.TCPConn) == socket.Empty
 }
 
 // exchange sends the request and reads the head of its answer. It reports whether a
@@ -243,7 +244,7 @@
 
 func (w *requestWriter) loop() {
 	defer close(w.done)
-	w.written, w.err = w.message.WriteTo(w.conn.tcp)
+	w.written, w.err = w.conn.tcp.writeBuffers(&w.message)
 }
 
 // succeeded reports whether the whole request was written.
