protocol/statusline: answers have a status that HTTP has

A server in trouble answered with the status 000, 099, 600, 999 or +20. Callers got 600 and 999 as the server's answer; the others made net/http panic, so that the caller's connection ended without an answer.

Cause: net/http accepts any three characters that strconv.Atoi accepts.

Fix: transport/upstream and httpclient.RoundTrip check the status line; anything but three digits from 100 to 599 is no answer (backendFailed).

--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -172,8 +172,7 @@
 	}
 	switch result {
 	case outcomeError:
-		w.WriteHeader(http.StatusInternalServerError)
-		_, _ = fmt.Fprint(w, "failed")
+		b.fail(w, r)
 		return
 	case outcomeUnpromised:
 		b.answerUnpromised(w)
@@ -197,20 +196,40 @@
 	_, _ = fmt.Fprint(w, answerText(r.Header.Get(standin.HeaderRequestID), b.name))
 }
 
-// abort breaks the connection off, for half of the requests after a part of an answer that would end with
-// its connection.
-func (b *backend) abort(w http.ResponseWriter, r *http.Request) {
+// invalidStatuses are status codes that HTTP doesn't have and that net/http accepts.
+var invalidStatuses = []string{"000", "099", "600", "999", "+20"}
+
+// fail answers with a failure, or for half of the requests with a status that HTTP doesn't have, unless there are rollouts.
+func (b *backend) fail(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(standin.HeaderRequestID)
-	if hashOf(id)%2 == 0 {
+	if hash := int(hashOf(id)); hash%2 == 0 && !b.soak.opts.Rollouts {
+		b.writeRaw(w, id, invalidStatuses[hash%len(invalidStatuses)], "Content-Length: 6\r\n\r\nfailed")
 		panic(http.ErrAbortHandler)
 	}
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = fmt.Fprint(w, "failed")
+}
+
+// writeRaw writes an answer without the help of net/http and resets the connection. rest is what follows
+// the first fields of the head.
+func (b *backend) writeRaw(w http.ResponseWriter, id, status, rest string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		panic(http.ErrAbortHandler) // the connection is closed already
+		return // the connection is closed already
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n%s", standin.HeaderRequestID, id, standin.HeaderSignature,
-		w.Header().Get(standin.HeaderSignature), id)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\n%s: %s\r\n%s: %s\r\n%s", status, standin.HeaderRequestID, id, standin.HeaderSignature,
+		w.Header().Get(standin.HeaderSignature), rest)
 	reset(conn)
+}
+
+// abort breaks the connection off, for half of the requests after a part of an answer that would end with
+// its connection.
+func (b *backend) abort(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(standin.HeaderRequestID)
+	if hashOf(id)%2 == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	b.writeRaw(w, id, "200", "\r\n"+id)
 	panic(http.ErrAbortHandler)
 }
 
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"amaranthtide/platform/standin"
+	"amaranthtide/protocol/statusline"
 )
 
 const (
@@ -130,6 +131,9 @@
 // check verifies a complete response.
 func (c *caller) check(sent time.Time, id, path string, r *router, keyRemoved time.Time, resp *http.Response, body string) {
 	now := time.Now()
+	if err := statusline.Check(resp); err != nil {
+		c.soak.addViolation(now, "answer", "request %s at %s: %v", id, r.name, err)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		c.checkBody(now, sent, id, path, resp, body)
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -221,6 +221,12 @@
 			w.Header().Set("Content-Type", "text/event-stream")
 			_, _ = w.Write([]byte("data: x\n\ndata: [DONE]\n"))
 		}, amaranthtide.KindTruncated},
+		{"status that HTTP doesn't have", func(w http.ResponseWriter, r *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = conn.Write([]byte("HTTP/1.1 000 OK\r\nAmaranthtide-Attempt: " + r.Header.Get("Amaranthtide-Attempt") +
+				"\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\ndata: [DONE]\n\n\n\n"))
+			_ = conn.Close()
+		}, amaranthtide.KindBackendFailed},
 		{"unknown length", func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, _ := http.NewResponseController(w).Hijack()
 			_, _ = conn.Write([]byte("HTTP/1.1 400 Bad\r\n\r\nx"))
--- a/transport/internal/httpclient/httpclient.go
+++ b/transport/internal/httpclient/httpclient.go
@@ -27,6 +27,7 @@
 	"amaranthtide"
 	"amaranthtide/protocol/framing"
 	"amaranthtide/protocol/notice"
+	"amaranthtide/protocol/statusline"
 	"amaranthtide/protocol/wire"
 	"amaranthtide/state/memory"
 )
@@ -97,7 +98,8 @@
 	Reused bool
 }
 
-// RoundTrip sends req and describes its connection. It doesn't follow redirects.
+// RoundTrip sends req and describes its connection. It doesn't follow redirects. A response with a status
+// that HTTP doesn't have is an error.
 func RoundTrip(transport *http.Transport, req *http.Request) (resp *http.Response, conn Connection, err error) {
 	var established, reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -105,7 +107,15 @@
 		reused.Store(info.Reused)
 	}}
 	resp, err = transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	return resp, Connection{Established: established.Load(), Reused: reused.Load()}, err
+	conn = Connection{Established: established.Load(), Reused: reused.Load()}
+	if err != nil {
+		return nil, conn, err
+	}
+	if err := statusline.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, conn, err
+	}
+	return resp, conn, nil
 }
 
 // Answers reports whether an answer that came on the connection belongs to the attempt: it
--- a/transport/upstream/connection.go
+++ b/transport/upstream/connection.go
@@ -16,6 +16,7 @@
 
 	"amaranthtide"
 	"amaranthtide/coordination/reuse"
+	"amaranthtide/protocol/statusline"
 	"amaranthtide/transport/internal/runtimeout"
 	"amaranthtide/transport/internal/socket"
 )
@@ -177,6 +178,9 @@
 		if err != nil {
 			return nil, c.headError(ctx, err)
 		}
+		if err := statusline.Check(resp); err != nil {
+			return nil, exchangeError(ctx, amaranthtide.KindBackendFailed, c.addr, err)
+		}
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
