--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -90,6 +90,9 @@
 		return false
 	}
 	c.soak.countAnswer(fmt.Sprint(resp.StatusCode))
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusUnauthorized {
+		c.soak.observeKey(time.Now(), sent, r, id, key, resp.StatusCode == http.StatusOK)
+	}
 	c.check(sent, id, path, r, keyRemoved, resp, string(text))
 	return resp.StatusCode == http.StatusOK
 }
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -86,6 +86,8 @@
 	// storeFaults has the faults of the store that affect all routers.
 	storeFaults    faultIntervals
 	routersPerZone int
+	// restoring is held while the store is restored.
+	restoring sync.Mutex
 
 	mu          sync.Mutex
 	serverCount int
@@ -96,10 +98,12 @@
 	// rotatingKeyRemoved is the time at which it was removed, zero while it is in force.
 	rotatingKey        string
 	rotatingKeyRemoved time.Time
-	zonesOut           map[string]time.Time
-	runs               map[string]int
-	refusals           map[string]bool
-	longRuns           map[string]longRun
+	// rejectedKeys holds the removed keys that routers have rejected.
+	rejectedKeys map[keyState]keyRejection
+	zonesOut     map[string]time.Time
+	runs         map[string]int
+	refusals     map[string]bool
+	longRuns     map[string]longRun
 	// requestCrashes holds, for each request that crashes servers, when it did.
 	requestCrashes map[string][]time.Time
 	crashingCount  int
@@ -143,6 +147,7 @@
 	if !s.waitServing(ctx) {
 		s.addViolation(time.Now(), "recover", "the fleet does not serve within %s after the last fault", recoveryTimeout)
 	}
+	s.checkLastChange(ctx)
 	return s.report(), nil
 }
 
@@ -151,7 +156,7 @@
 	return &soak{
 		opts: opts, began: time.Now(), store: standin.NewStore(), routersPerZone: routersPerZone, zonesOut: make(map[string]time.Time),
 		runs: make(map[string]int), refusals: make(map[string]bool), longRuns: make(map[string]longRun), requestCrashes: make(map[string][]time.Time), answers: make(map[string]int),
-		rollouts: make(map[string]*rollout),
+		rollouts: make(map[string]*rollout), rejectedKeys: make(map[keyState]keyRejection),
 	}
 }
 
--- a/cmd/internal/where/where_test.go
+++ b/cmd/internal/where/where_test.go
@@ -43,7 +43,7 @@
 	is := is.New(t)
 	value, err := json.Marshal(standin.Config(1, "secret"))
 	is.NoErr(err)
-	row, err := platform.RowDecoder{}.Decode(time.Now(), amaranthtide.FeedRow{Table: "op", Key: "config", Version: 1, Value: value})
+	row, err := platform.RowDecoder{}.Decode(time.Now(), amaranthtide.FeedRow{Table: "op", Key: "config", Version: ver(1), Value: value})
 	is.NoErr(err)
 	cfg, _ := row.Configuration.Get()
 	current, e, uri := declared.New(), &explainer{}, ""
@@ -77,3 +77,5 @@
 	_, err = q.Ask(t.Context())
 	is.True(err != nil && strings.Contains(err.Error(), "400"))
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/coordination/quarantine/stored/model_test.go
+++ b/coordination/quarantine/stored/model_test.go
@@ -22,7 +22,7 @@
 	now     time.Time
 	routers []*router
 	rows    map[int]amaranthtide.QuarantineRow
-	version amaranthtide.RowVersion
+	version amaranthtide.StoreVersion
 	down    bool
 	lose    bool
 	late    time.Duration
@@ -82,7 +82,7 @@
 			return false
 		}
 	}
-	m.version++
+	m.version = ver(m.version.Number() + 1)
 	for _, row := range w.Puts {
 		row.Version = m.version
 		m.rows[row.Slot] = row
--- a/coordination/quarantine/stored/read.go
+++ b/coordination/quarantine/stored/read.go
@@ -16,7 +16,7 @@
 
 // slot is what a router knows of one row. The content of a malformed row is absent.
 type slot struct {
-	version amaranthtide.RowVersion
+	version amaranthtide.StoreVersion
 	content amaranthtide.Option[amaranthtide.StoredQuarantine]
 }
 
--- a/coordination/quarantine/stored/table.go
+++ b/coordination/quarantine/stored/table.go
@@ -93,6 +93,14 @@
 // platform's tables. It is called with each attempt to do so.
 func (t *Table) BeginLoad(now time.Time) { t.loading, t.loadAt, t.loads = true, now, 0 }
 
+// Forget forgets which quarantines are stored, so that those in force are stored again: the store has come
+// back from an older copy.
+func (t *Table) Forget() {
+	clear(t.stored)
+	clear(t.declined)
+	clear(t.unconfirmed)
+}
+
 // Loading reports whether the rows are still to be read because of BeginLoad. What Read returns
 // then is to be added to the evidence of this router; later rows are no news to it.
 func (t *Table) Loading() bool { return t.loading }
--- a/coordination/quarantine/stored/table_test.go
+++ b/coordination/quarantine/stored/table_test.go
@@ -18,7 +18,7 @@
 }
 
 // row returns the row of a quarantine that expires after a time.
-func row(slot int, version amaranthtide.RowVersion, part amaranthtide.PromptPart, level int, left time.Duration) amaranthtide.QuarantineRow {
+func row(slot int, version amaranthtide.StoreVersion, part amaranthtide.PromptPart, level int, left time.Duration) amaranthtide.QuarantineRow {
 	return amaranthtide.QuarantineRow{Slot: slot, Version: version, Quarantine: some(amaranthtide.StoredQuarantine{Service: "pool", Part: part, Level: level, ExpiresAt: start.Add(left)})}
 }
 
@@ -37,20 +37,20 @@
 // Guards against rows that hold requests back without a reason or for longer than any quarantine.
 func TestRowsAreChecked(t *testing.T) {
 	long := amaranthtide.PromptPart(strings.Repeat("x", 257))
-	many := row(7, 1, "p", 1, time.Minute)
+	many := row(7, ver(1), "p", 1, time.Minute)
 	many.Quarantine = some(amaranthtide.StoredQuarantine{Service: "pool", Part: "p", Level: 1, ExpiresAt: start.Add(time.Minute), Companions: make([]amaranthtide.PromptPart, 65)})
 	for name, r := range map[string]amaranthtide.QuarantineRow{
-		"unreadable": {Slot: 1, Version: 1, Err: errors.New("injected failure")}, "no part": row(1, 1, "", 1, time.Minute),
-		"long part": row(1, 1, long, 1, time.Minute), "no level": row(1, 1, "p", 0, time.Minute), "companions": many,
-		"first of a request": row(1, 1, "request:1", 1, time.Second), "no expiry": row(1, 1, "p", 1, -start.Sub(time.Unix(0, 0))),
+		"unreadable": {Slot: 1, Version: ver(1), Err: errors.New("injected failure")}, "no part": row(1, ver(1), "", 1, time.Minute),
+		"long part": row(1, ver(1), long, 1, time.Minute), "no level": row(1, ver(1), "p", 0, time.Minute), "companions": many,
+		"first of a request": row(1, ver(1), "request:1", 1, time.Second), "no expiry": row(1, ver(1), "p", 1, -start.Sub(time.Unix(0, 0))),
 	} {
 		if got := stored.New().Read(start, []amaranthtide.QuarantineRow{r}); len(got) != 0 || stored.Problem(r) == nil {
 			t.Errorf("%s: got: %v, problem %v, want: no quarantine and a problem", name, got, stored.Problem(r))
 		}
 	}
 	is := is.New(t)
-	is.Equal(len(stored.New().Read(start, []amaranthtide.QuarantineRow{row(1, 1, "p", 1, 0), row(-1, 1, "q", 1, time.Minute)})), 0)
-	got := stored.New().Read(start, []amaranthtide.QuarantineRow{row(1, 1, "p", 9, 100*24*time.Hour)})
+	is.Equal(len(stored.New().Read(start, []amaranthtide.QuarantineRow{row(1, ver(1), "p", 1, 0), row(-1, ver(1), "q", 1, time.Minute)})), 0)
+	got := stored.New().Read(start, []amaranthtide.QuarantineRow{row(1, ver(1), "p", 9, 100*24*time.Hour)})
 	is.Equal(got[0].LastCrash, start) // level 9 lasts for an hour, the longest quarantine
 }
 
@@ -62,13 +62,13 @@
 		row     amaranthtide.QuarantineRow
 		puts    int
 	}{
-		"new":                     {inForce("p", 1), row(1, 1, "q", 1, time.Minute), 1},
-		"stored":                  {inForce("p", 1), row(1, 1, "p", 1, time.Minute), 0},
-		"extended by a half":      {inForce("p", 1), row(1, 1, "p", 1, 30*time.Second), 0},
-		"extended by more":        {inForce("p", 1), row(1, 1, "p", 1, 29*time.Second), 1},
-		"first of a request":      {inForce("request:1", 1), row(1, 1, "q", 1, time.Minute), 0},
-		"second of a request":     {inForce("request:1", 2), row(1, 1, "q", 1, time.Minute), 1},
-		"name too long for a row": {inForce(amaranthtide.PromptPart(strings.Repeat("x", 257)), 1), row(1, 1, "q", 1, time.Minute), 0},
+		"new":                     {inForce("p", 1), row(1, ver(1), "q", 1, time.Minute), 1},
+		"stored":                  {inForce("p", 1), row(1, ver(1), "p", 1, time.Minute), 0},
+		"extended by a half":      {inForce("p", 1), row(1, ver(1), "p", 1, 30*time.Second), 0},
+		"extended by more":        {inForce("p", 1), row(1, ver(1), "p", 1, 29*time.Second), 1},
+		"first of a request":      {inForce("request:1", 1), row(1, ver(1), "q", 1, time.Minute), 0},
+		"second of a request":     {inForce("request:1", 2), row(1, ver(1), "q", 1, time.Minute), 1},
+		"name too long for a row": {inForce(amaranthtide.PromptPart(strings.Repeat("x", 257)), 1), row(1, ver(1), "q", 1, time.Minute), 0},
 	} {
 		if w := due(now, c.current, c.row).Plan(now, 0, c.current); len(w.Puts) != c.puts {
 			t.Errorf("%s: got: %d puts, want: %d", name, len(w.Puts), c.puts)
@@ -100,7 +100,7 @@
 	is := is.New(t)
 	rows := make([]amaranthtide.QuarantineRow, 0, amaranthtide.QuarantineSlots)
 	for i := range amaranthtide.QuarantineSlots {
-		rows = append(rows, row(i, 5, amaranthtide.PromptPart(fmt.Sprint("p", i)), 3, 2*time.Minute+time.Duration(i)*time.Millisecond))
+		rows = append(rows, row(i, ver(5), amaranthtide.PromptPart(fmt.Sprint("p", i)), 3, 2*time.Minute+time.Duration(i)*time.Millisecond))
 	}
 	table := due(start, inForce("new", 1), rows...)
 	is.Equal(len(table.Plan(start, 0, inForce("new", 1)).Puts), 0) // it ends before all others
@@ -110,9 +110,9 @@
 	is.Equal(len(w.Puts), 0) // two minutes, not later than any
 	w = due(start, inForce("new", 3), rows...).Plan(start, 0, inForce("new", 3))
 	is.Equal(w.Puts[0].Slot, 0) // expires first
-	rows[9], rows[11] = amaranthtide.QuarantineRow{Slot: 9, Version: 6, Err: errors.New("injected failure")}, row(11, 7, "old", 3, -2*time.Minute)
+	rows[9], rows[11] = amaranthtide.QuarantineRow{Slot: 9, Version: ver(6), Err: errors.New("injected failure")}, row(11, ver(7), "old", 3, -2*time.Minute)
 	w = due(start, inForce("new", 1), rows...).Plan(start, 0, inForce("new", 1))
-	is.True(len(w.Puts) == 1 && (w.Puts[0].Slot == 9 && w.Puts[0].Version == 6 || w.Puts[0].Slot == 11 && w.Puts[0].Version == 7))
+	is.True(len(w.Puts) == 1 && (w.Puts[0].Slot == 9 && w.Puts[0].Version == ver(6) || w.Puts[0].Slot == 11 && w.Puts[0].Version == ver(7)))
 }
 
 // Guards against a quarantine that an answer has ended and that comes back: by its row, or by a write
@@ -136,7 +136,7 @@
 	is.True(!again)
 
 	// The row that keeps the late write out is removed with a later write, not at once.
-	fence.Puts[0].Version = 9
+	fence.Puts[0].Version = ver(9)
 	for left, want := range map[time.Duration]int{30 * time.Second: 0, 61 * time.Second: 1} {
 		w := due(later.Add(left), inForce("q", 4), fence.Puts[0]).Plan(later.Add(left), 0, inForce("q", 4))
 		is.Equal(len(w.Removals), want)
@@ -172,3 +172,5 @@
 	table.Release(later, "pool", "p")
 	is.Equal(len(table.Plan(later.Add(time.Minute), 0, nil).Puts), 0)
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/coordination/rollout/fleet_test.go
+++ b/coordination/rollout/fleet_test.go
@@ -298,7 +298,7 @@
 
 // run plays the rollout, and some seconds more.
 func (f *simFleet) run() error {
-	state, err := rollout.Start(f.time(), amaranthtide.RolloutOrder{Service: "pool", To: "v2", Duration: f.duration}, 5, limits)
+	state, err := rollout.Start(f.time(), amaranthtide.RolloutOrder{Service: "pool", To: "v2", Duration: f.duration}, ver(5), limits)
 	if err != nil {
 		return fmt.Errorf("starting: %w", err)
 	}
--- a/coordination/rollout/next_test.go
+++ b/coordination/rollout/next_test.go
@@ -14,7 +14,7 @@
 
 func started(t *testing.T) amaranthtide.RolloutState {
 	t.Helper()
-	s, err := rollout.Start(start, order, 5, limits)
+	s, err := rollout.Start(start, order, ver(5), limits)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -238,21 +238,21 @@
 func TestOrders(t *testing.T) {
 	is := is.New(t)
 	for _, o := range []amaranthtide.RolloutOrder{{To: "v2", Duration: time.Minute}, {Service: "pool", Duration: time.Minute}, {Service: "pool", To: "v2"}, {Service: "pool", To: "v2", Duration: -time.Second}} {
-		_, err := rollout.Start(start, o, 5, limits)
+		_, err := rollout.Start(start, o, ver(5), limits)
 		is.True(err != nil)
 	}
-	_, err := rollout.Start(start, order, 5, rollout.Limits{})
+	_, err := rollout.Start(start, order, ver(5), rollout.Limits{})
 	is.True(err != nil)
 
 	first := started(t)
-	second, err := rollout.Replace(start, first, amaranthtide.RolloutOrder{Service: "pool", To: "v3", Duration: time.Minute}, 9, limits)
+	second, err := rollout.Replace(start, first, amaranthtide.RolloutOrder{Service: "pool", To: "v3", Duration: time.Minute}, ver(9), limits)
 	is.NoErr(err)
 	is.Equal(second.Barred, []amaranthtide.VersionName{"v2"})
-	third, err := rollout.Replace(start, second, order, 12, limits)
+	third, err := rollout.Replace(start, second, order, ver(12), limits)
 	is.NoErr(err)
 	is.Equal(third.Barred, []amaranthtide.VersionName{"v3"})
 	first.Stage = amaranthtide.RolloutSucceeded
-	after, err := rollout.Replace(start, first, amaranthtide.RolloutOrder{Service: "pool", To: "v3", Duration: time.Minute}, 9, limits)
+	after, err := rollout.Replace(start, first, amaranthtide.RolloutOrder{Service: "pool", To: "v3", Duration: time.Minute}, ver(9), limits)
 	is.NoErr(err)
 	is.Equal(len(after.Barred), 0)
 }
@@ -261,16 +261,18 @@
 // without servers after its success was recorded.
 func TestRollbackIsFinal(t *testing.T) {
 	is := is.New(t)
-	state := func(order amaranthtide.RowVersion, stage amaranthtide.RolloutStage) amaranthtide.Option[amaranthtide.RolloutState] {
+	state := func(order amaranthtide.StoreVersion, stage amaranthtide.RolloutStage) amaranthtide.Option[amaranthtide.RolloutState] {
 		return amaranthtide.Some(amaranthtide.RolloutState{Order: order, Stage: stage})
 	}
-	announced := state(5, amaranthtide.RolloutRolledBack)
+	announced := state(ver(5), amaranthtide.RolloutRolledBack)
 	none := amaranthtide.None[amaranthtide.RolloutState]()
 	is.Equal(rollout.Effective(none, announced), announced)
-	is.Equal(rollout.Effective(state(5, amaranthtide.RolloutShift), announced), announced)
-	is.Equal(rollout.Effective(state(3, amaranthtide.RolloutSucceeded), announced), announced)
-	for _, recorded := range []amaranthtide.Option[amaranthtide.RolloutState]{state(5, amaranthtide.RolloutSucceeded), state(9, amaranthtide.RolloutCanary)} {
+	is.Equal(rollout.Effective(state(ver(5), amaranthtide.RolloutShift), announced), announced)
+	is.Equal(rollout.Effective(state(ver(3), amaranthtide.RolloutSucceeded), announced), announced)
+	for _, recorded := range []amaranthtide.Option[amaranthtide.RolloutState]{state(ver(5), amaranthtide.RolloutSucceeded), state(ver(9), amaranthtide.RolloutCanary)} {
 		is.Equal(rollout.Effective(recorded, announced), recorded)
 	}
-	is.Equal(rollout.Effective(none, state(5, amaranthtide.RolloutShift)), none)
+	is.Equal(rollout.Effective(none, state(ver(5), amaranthtide.RolloutShift)), none)
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/coordination/rollout/pools.go
+++ b/coordination/rollout/pools.go
@@ -40,7 +40,7 @@
 // NewPools whenever the view changes.
 type Pools struct {
 	stage amaranthtide.RolloutStage
-	order amaranthtide.RowVersion
+	order amaranthtide.StoreVersion
 	share float64
 	// old are the servers of the old versions, fresh those of the new one, and used the part of them
 	// that gets requests until all chats have moved.
@@ -212,9 +212,9 @@
 }
 
 // hash returns a hash of a name that differs between rollouts.
-func hash(order amaranthtide.RowVersion, name string) uint64 {
+func hash(order amaranthtide.StoreVersion, name string) uint64 {
 	d := xxhash.New()
-	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(order))) // writes to a hash return no error
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, order.Number())) // writes to a hash return no error
 	_, _ = d.WriteString(name)
 	return d.Sum64()
 }
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -66,7 +66,7 @@
 
 // Start returns the first state of the rollout that the order in the row of the given version asks
 // for. An error tells what is wrong with the order.
-func Start(now time.Time, order amaranthtide.RolloutOrder, row amaranthtide.RowVersion, limits Limits) (amaranthtide.RolloutState, error) {
+func Start(now time.Time, order amaranthtide.RolloutOrder, row amaranthtide.StoreVersion, limits Limits) (amaranthtide.RolloutState, error) {
 	if err := check(order, row, limits); err != nil {
 		return amaranthtide.RolloutState{}, err
 	}
@@ -78,7 +78,7 @@
 
 // Replace returns the first state of a rollout that follows another one of the same service. A
 // version that the earlier one has not found good gets no requests, unless the order names it.
-func Replace(now time.Time, previous amaranthtide.RolloutState, order amaranthtide.RolloutOrder, row amaranthtide.RowVersion, limits Limits) (amaranthtide.RolloutState, error) {
+func Replace(now time.Time, previous amaranthtide.RolloutState, order amaranthtide.RolloutOrder, row amaranthtide.StoreVersion, limits Limits) (amaranthtide.RolloutState, error) {
 	s, err := Start(now, order, row, limits)
 	if err != nil {
 		return s, err
@@ -99,13 +99,13 @@
 func Effective(recorded, announced amaranthtide.Option[amaranthtide.RolloutState]) amaranthtide.Option[amaranthtide.RolloutState] {
 	r, ok := recorded.Get()
 	a, isAnnounced := announced.Get()
-	if !isAnnounced || a.Stage != amaranthtide.RolloutRolledBack || ok && (r.Order > a.Order || r.Order == a.Order && r.Stage.Final()) {
+	if !isAnnounced || a.Stage != amaranthtide.RolloutRolledBack || ok && (r.Order.After(a.Order) || r.Order == a.Order && r.Stage.Final()) {
 		return recorded
 	}
 	return announced
 }
 
-func check(order amaranthtide.RolloutOrder, row amaranthtide.RowVersion, limits Limits) error {
+func check(order amaranthtide.RolloutOrder, row amaranthtide.StoreVersion, limits Limits) error {
 	switch {
 	case !limits.Enabled():
 		return errors.New("rollouts are off")
@@ -115,7 +115,7 @@
 		return errors.New("order without a version")
 	case order.Duration < minDuration || order.Duration > maxDuration:
 		return fmt.Errorf("order with a duration of %v, allowed: %v to %v", order.Duration, minDuration, maxDuration)
-	case row == 0:
+	case row.IsZero():
 		return errors.New("order without a row version")
 	}
 	return nil
--- a/feed.go
+++ b/feed.go
@@ -13,7 +13,7 @@
 type FeedRow struct {
 	Table   FeedTable
 	Key     string
-	Version RowVersion
+	Version StoreVersion
 	// Value is nil if the row was removed.
 	Value []byte
 }
@@ -22,9 +22,13 @@
 type FeedPage struct {
 	Rows []FeedRow
 	// Version is the version up to which the page includes all changes.
-	Version RowVersion
+	Version StoreVersion
 	// Whole marks a page with all rows of the table: other rows no longer exist.
 	Whole bool
+	// Held are the rows of earlier eras that a page from another router holds against those of the store,
+	// which has come back from an older copy; RestoreAge is the time since that router learned of it.
+	Held       []FeedRow
+	RestoreAge time.Duration
 }
 
 // FeedView tells how recently the feed has confirmed what a router knows of it.
@@ -33,6 +37,8 @@
 	Age time.Duration
 	// Reader is the router whose call the feed answered. Others have the view from it.
 	Reader VMName
+	// Era is the era of the store that the view is of.
+	Era StoreEra
 }
 
 // Feed delivers the rows of tables and their changes. The versions of all tables come from one
@@ -42,7 +48,7 @@
 	// version are no longer stored. Otherwise it waits up to the given time for a
 	// change after that version and returns a page without rows if there is none.
 	// Errors are KindPlatformDown.
-	Next(ctx context.Context, table FeedTable, after Option[RowVersion], wait time.Duration) (FeedPage, error)
+	Next(ctx context.Context, table FeedTable, after Option[StoreVersion], wait time.Duration) (FeedPage, error)
 }
 
 // DecodedRow is the decoded content of one row of the feed. At most one field is set;
--- a/protocol/message/load_report.go
+++ b/protocol/message/load_report.go
@@ -1,11 +1,13 @@
 package message
 
-import "amaranthtide"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"amaranthtide"
+)
 
 // LoadReport is the encoded form of amaranthtide.LoadReport.
 type LoadReport struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
-
 	VM              string
 	Zone            string
 	Address         []byte
@@ -17,6 +19,19 @@
 	Loads           []ServerInFlight
 	LinkMegabits    uint32
 	EvidenceHash    uint64
+	// DeclaredEra and RegistryEra are the eras of the versions above.
+	DeclaredEra uint64
+	RegistryEra uint64
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (m LoadReport) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return encodeFields(enc, 11, m.VM, m.Zone, m.Address, m.Incarnation, m.Sequence, m.DeclaredVersion, m.RegistryVersion, m.Hubs, m.Loads, m.LinkMegabits, m.EvidenceHash, m.DeclaredEra, m.RegistryEra)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (m *LoadReport) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeFields(dec, 11, &m.VM, &m.Zone, &m.Address, &m.Incarnation, &m.Sequence, &m.DeclaredVersion, &m.RegistryVersion, &m.Hubs, &m.Loads, &m.LinkMegabits, &m.EvidenceHash, &m.DeclaredEra, &m.RegistryEra)
 }
 
 // NewLoadReport converts r to a message.
@@ -32,8 +47,8 @@
 	return &LoadReport{
 		VM: string(r.From.VM), Zone: string(r.From.Zone), Address: addressBytes(r.From.Address),
 		Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
-		DeclaredVersion: uint64(r.DeclaredVersion), RegistryVersion: uint64(r.RegistryVersion), Hubs: hubs, Loads: loads, LinkMegabits: clampCount(r.From.LinkMegabits),
-		EvidenceHash: uint64(r.EvidenceHash),
+		DeclaredVersion: r.DeclaredVersion.Number(), RegistryVersion: r.RegistryVersion.Number(), Hubs: hubs, Loads: loads, LinkMegabits: clampCount(r.From.LinkMegabits),
+		EvidenceHash: uint64(r.EvidenceHash), DeclaredEra: uint64(r.DeclaredVersion.Era()), RegistryEra: uint64(r.RegistryVersion.Era()),
 	}
 }
 
@@ -54,7 +69,7 @@
 	return amaranthtide.LoadReport{
 		From:        amaranthtide.RouterEntry{VM: amaranthtide.VMName(m.VM), Zone: amaranthtide.ZoneName(m.Zone), Address: addr, LinkMegabits: int(m.LinkMegabits)},
 		Incarnation: amaranthtide.Incarnation(m.Incarnation), Sequence: m.Sequence,
-		DeclaredVersion: amaranthtide.RowVersion(m.DeclaredVersion), RegistryVersion: amaranthtide.RowVersion(m.RegistryVersion), Hubs: hubs, Loads: loads,
+		DeclaredVersion: storeVersion(m.DeclaredEra, m.DeclaredVersion), RegistryVersion: storeVersion(m.RegistryEra, m.RegistryVersion), Hubs: hubs, Loads: loads,
 		EvidenceHash: amaranthtide.EvidenceHash(m.EvidenceHash),
 	}, nil
 }
--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -69,7 +69,7 @@
 
 	loads := amaranthtide.LoadReport{
 		From:        amaranthtide.RouterEntry{VM: "vm-1", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:7000")},
-		Incarnation: 3, Sequence: 1 << 40, DeclaredVersion: 5, RegistryVersion: 6, Hubs: []amaranthtide.VMName{"vm-9"}, EvidenceHash: 1 << 63,
+		Incarnation: 3, Sequence: 1 << 40, DeclaredVersion: ver(5), RegistryVersion: ver(6), Hubs: []amaranthtide.VMName{"vm-9"}, EvidenceHash: 1 << 63,
 		Loads: []amaranthtide.ServerLoad{{Server: "e1", InFlight: 7}},
 	}
 	gotLoads, err := roundTrip(t, message.NewLoadReport(loads)).ToDomain()
@@ -244,7 +244,7 @@
 		message.NewHeartbeat(heartbeat.Heartbeat{VM: "v", Loads: make([]amaranthtide.ServerLoad, 2)}),
 		message.NewCrashEvidence(now, "v", 1, amaranthtide.CrashEvidence{Crashes: make([]amaranthtide.ServerCrash, 2), Answers: make([]amaranthtide.PartAnswer, 1)}),
 		message.NewOutcomes([]outcomes.List{{VM: "v", Incarnation: 1, Outcomes: make([]amaranthtide.VersionOutcomes, 2)}})[0],
-		message.NewRollbacks([]amaranthtide.RolloutState{{Service: "s", Order: 1, To: "v2"}}),
+		message.NewRollbacks([]amaranthtide.RolloutState{{Service: "s", Order: ver(1), To: "v2"}}),
 		message.NewProof(make([]byte, message.NonceSize), netip.MustParseAddrPort("127.0.0.1:1")),
 	} {
 		data, err := message.Append(nil, m)
@@ -323,7 +323,7 @@
 	is.True(amaranthtide.IsKind(err, amaranthtide.KindBadRequest))
 
 	rollback := amaranthtide.RolloutState{
-		Service: "s", Order: 5, To: "v2", Stage: amaranthtide.RolloutRolledBack, StartedAt: now.Local(), Deadline: now.Add(time.Minute).Local(), Reason: "failures",
+		Service: "s", Order: ver(5), To: "v2", Stage: amaranthtide.RolloutRolledBack, StartedAt: now.Local(), Deadline: now.Add(time.Minute).Local(), Reason: "failures",
 	}
 	is.Equal(roundTrip(t, message.NewRollbacks([]amaranthtide.RolloutState{rollback})).ToDomain(), []amaranthtide.RolloutState{rollback})
 	_, err = message.Append(nil, &message.Rollbacks{Rollbacks: []message.Rollback{{Service: "s", To: "v2"}}})
@@ -335,14 +335,14 @@
 func TestRowsRoundTripLargeValues(t *testing.T) {
 	is := is.New(t)
 	large := []byte(strings.Repeat(`{"name":"route","prefix":"/a/","service":"b"},`, 10_000))
-	page := amaranthtide.FeedPage{Version: 9, Whole: true, Rows: []amaranthtide.FeedRow{
-		{Table: "t", Key: "large", Version: 3, Value: large},
-		{Table: "t", Key: "small", Version: 4, Value: []byte("x")},
-		{Table: "t", Key: "empty", Version: 5, Value: []byte{}},
-		{Table: "t", Key: "gone", Version: 6},
+	page := amaranthtide.FeedPage{Version: ver(9), Whole: true, Rows: []amaranthtide.FeedRow{
+		{Table: "t", Key: "large", Version: ver(3), Value: large},
+		{Table: "t", Key: "small", Version: ver(4), Value: []byte("x")},
+		{Table: "t", Key: "empty", Version: ver(5), Value: []byte{}},
+		{Table: "t", Key: "gone", Version: ver(6)},
 	}}
 	view := amaranthtide.FeedView{Age: 250 * time.Millisecond, Reader: "vm-1"}
-	m := message.NewRows("t", 2, page, amaranthtide.Some(view))
+	m := message.NewRows("t", ver(2), page, amaranthtide.Some(view))
 	data, err := message.Append(nil, m)
 	is.NoErr(err)
 	is.True(len(data) < len(large)/5)
@@ -351,9 +351,9 @@
 	is.Equal(table, amaranthtide.FeedTable("t"))
 	is.Equal(got, page)
 	is.Equal(roundTrip(t, m).View(), amaranthtide.Some(view))
-	is.Equal(roundTrip(t, message.NewRows("t", 2, page, amaranthtide.None[amaranthtide.FeedView]())).View(), amaranthtide.None[amaranthtide.FeedView]())
+	is.Equal(roundTrip(t, message.NewRows("t", ver(2), page, amaranthtide.None[amaranthtide.FeedView]())).View(), amaranthtide.None[amaranthtide.FeedView]())
 
-	truncated := message.NewRows("t", 2, page, amaranthtide.Some(view))
+	truncated := message.NewRows("t", ver(2), page, amaranthtide.Some(view))
 	truncated.Rows[0].Value = truncated.Rows[0].Value[:100]
 	_, _, err = truncated.ToDomain()
 	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindBadRequest)
@@ -363,14 +363,16 @@
 // row stays within the limit of a message, but there may be thousands of them.
 func TestRowsLimitTotalInflatedSize(t *testing.T) {
 	is := is.New(t)
-	page := amaranthtide.FeedPage{Version: 9}
+	page := amaranthtide.FeedPage{Version: ver(9)}
 	for i := range 40 {
-		page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: "t", Key: fmt.Sprint(i), Version: 3, Value: make([]byte, message.MaxSize/8)})
+		page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: "t", Key: fmt.Sprint(i), Version: ver(3), Value: make([]byte, message.MaxSize/8)})
 	}
-	m := message.NewRows("t", 2, page, amaranthtide.None[amaranthtide.FeedView]())
+	m := message.NewRows("t", ver(2), page, amaranthtide.None[amaranthtide.FeedView]())
 	data, err := message.Append(nil, m)
 	is.NoErr(err)
 	is.True(len(data) < 1<<20)
 	_, _, err = m.ToDomain()
 	is.Equal(amaranthtide.KindOf(err), amaranthtide.KindBadRequest)
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/protocol/message/rollout.go
+++ b/protocol/message/rollout.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"amaranthtide"
 	"amaranthtide/state/outcomes"
 )
@@ -153,14 +155,24 @@
 
 // Rollback is the encoded form of an amaranthtide.RolloutState of the stage RolloutRolledBack.
 type Rollback struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the msgpack package
-
 	Service        string
 	Order          uint64
 	To             string
 	StartedMillis  int64
 	DeadlineMillis int64
 	Reason         string
+	// OrderEra is the era of Order.
+	OrderEra uint64
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (m Rollback) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return encodeFields(enc, 6, m.Service, m.Order, m.To, m.StartedMillis, m.DeadlineMillis, m.Reason, m.OrderEra)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (m *Rollback) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeFields(dec, 6, &m.Service, &m.Order, &m.To, &m.StartedMillis, &m.DeadlineMillis, &m.Reason, &m.OrderEra)
 }
 
 // NewRollbacks converts rollbacks to a message. It leaves out what exceeds MaxRollbacks.
@@ -168,7 +180,7 @@
 	m := &Rollbacks{}
 	for _, s := range states[:min(len(states), MaxRollbacks)] {
 		m.Rollbacks = append(m.Rollbacks, Rollback{
-			Service: string(s.Service), Order: uint64(s.Order), To: string(s.To),
+			Service: string(s.Service), Order: s.Order.Number(), OrderEra: uint64(s.Order.Era()), To: string(s.To),
 			StartedMillis: s.StartedAt.UnixMilli(), DeadlineMillis: s.Deadline.UnixMilli(), Reason: s.Reason[:min(len(s.Reason), MaxErrorText)],
 		})
 	}
@@ -180,7 +192,7 @@
 	out := make([]amaranthtide.RolloutState, len(m.Rollbacks))
 	for i, r := range m.Rollbacks {
 		out[i] = amaranthtide.RolloutState{
-			Service: amaranthtide.ServiceName(r.Service), Order: amaranthtide.RowVersion(r.Order), To: amaranthtide.VersionName(r.To),
+			Service: amaranthtide.ServiceName(r.Service), Order: storeVersion(r.OrderEra, r.Order), To: amaranthtide.VersionName(r.To),
 			Stage: amaranthtide.RolloutRolledBack, StartedAt: time.UnixMilli(r.StartedMillis), Deadline: time.UnixMilli(r.DeadlineMillis), Reason: r.Reason,
 		}
 	}
--- a/quarantine.go
+++ b/quarantine.go
@@ -23,7 +23,7 @@
 type QuarantineRow struct {
 	// Slot is the key of the row, from 0 to QuarantineSlots-1; -1 if the key is none of these.
 	Slot    int
-	Version RowVersion
+	Version StoreVersion
 	// Quarantine is absent if the row is malformed, and Err tells why.
 	Quarantine Option[StoredQuarantine]
 	Err        error
--- a/request.go
+++ b/request.go
@@ -174,10 +174,10 @@
 	Sequence    uint64
 	// DeclaredVersion is the highest version of any row that the router has received of
 	// the operators' table.
-	DeclaredVersion RowVersion
+	DeclaredVersion StoreVersion
 	// RegistryVersion is the highest version of any row that the router has received of
 	// the table of registered routers.
-	RegistryVersion RowVersion
+	RegistryVersion StoreVersion
 	// EvidenceHash is the hash over the router's CrashEvidence.
 	EvidenceHash EvidenceHash
 	// Hubs are the hubs of other zones from which the router receives reports.
--- a/rollout.go
+++ b/rollout.go
@@ -60,7 +60,7 @@
 type RolloutState struct {
 	Service ServiceName
 	// Order is the version of the row with the operator's order, which identifies the rollout.
-	Order RowVersion
+	Order StoreVersion
 	To    VersionName
 	Stage RolloutStage
 	// Share is the part of the requests, from 0 to 1, that the new version gets.
@@ -159,5 +159,5 @@
 	// recorded state still has the version previous (0 means that there is none) and the
 	// operator's order is unchanged. It returns the version of the new state. Errors are
 	// KindConflict if a condition does not hold, KindOutcomeUnknown and KindPlatformDown.
-	RecordRollout(ctx context.Context, previous RowVersion, s RolloutState) (RowVersion, error)
+	RecordRollout(ctx context.Context, previous StoreVersion, s RolloutState) (StoreVersion, error)
 }
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -9,7 +9,7 @@
 
 // callFeed reads the next page of a table from the feed. Behind and recordFailure may
 // cancel the call.
-func (f *Follower) callFeed(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
+func (f *Follower) callFeed(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -23,11 +23,11 @@
 // Behind compares this router's version of a table with the newest row that another router
 // knows. It reports true if this router has lagged behind without progress for maxLag, and
 // then cancels the call in flight, whose connection is assumed to be lost.
-func (f *Follower) Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool {
+func (f *Follower) Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.StoreVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	version := f.opts.Rows.Version(table).Or(0)
-	if version >= newest {
+	version := f.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{})
+	if !version.Before(newest) {
 		delete(f.lags, table)
 		return false
 	}
@@ -43,7 +43,7 @@
 	if cancel, ok := f.cancelCalls[table]; ok {
 		cancel()
 	}
-	f.opts.Logger.Warn("feed is behind other routers", "table", table, "version", version, "newest", newest)
+	f.opts.Logger.Warn("feed is behind other routers", "table", table, "version", version.String(), "newest", newest.String())
 	return true
 }
 
@@ -60,7 +60,7 @@
 	failed, repeated := f.failures[table]
 	if !repeated {
 		failed.since = now
-		f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(0), "error", err)
+		f.opts.Logger.Warn("feed lost", "table", table, "version", f.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{}).String(), "error", err)
 		if table == f.opts.PolledTable {
 			for _, cancel := range f.cancelCalls {
 				cancel()
--- a/transport/follow/check.go
+++ b/transport/follow/check.go
@@ -11,7 +11,7 @@
 // tables come from one counter, so its waiting call may have missed a change. Without this
 // check, a call that the feed didn't wake delayed a configuration by feedWait.
 func (f *Follower) checkTables(now time.Time) {
-	newest := f.opts.Rows.Version(f.opts.PolledTable).Or(0)
+	newest := f.opts.Rows.Version(f.opts.PolledTable).Or(amaranthtide.StoreVersion{})
 	for _, table := range f.opts.Tables {
 		version, known := f.opts.Rows.Version(table).Get()
 		if table != f.opts.PolledTable && known && f.mustCheck(now, table, version, newest) {
@@ -22,14 +22,18 @@
 
 // mustCheck reports whether a table has stayed at a version before the newest one for the time
 // of a poll since the last check. A change in transfer usually arrives within that time.
-func (f *Follower) mustCheck(now time.Time, table amaranthtide.FeedTable, version, newest amaranthtide.RowVersion) bool {
+func (f *Follower) mustCheck(now time.Time, table amaranthtide.FeedTable, version, newest amaranthtide.StoreVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version >= newest {
+	if !version.Before(newest) {
 		delete(f.unconfirmed, table)
 		return false
 	}
 	unconfirmed, ok := f.unconfirmed[table]
+	if version.Era() < newest.Era() && !f.checking.Has(table) {
+		f.checking.Add(table) // its waiting call was made in another history
+		return true
+	}
 	if !ok || unconfirmed.version != version {
 		f.unconfirmed[table] = lag{now, version}
 		return false
@@ -62,7 +66,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	f.opts.Logger.Warn("waiting call missed changes", "table", table, "version", after.Or(0), "newest", page.Version)
+	f.opts.Logger.Warn("waiting call missed changes", "table", table, "version", after.Or(amaranthtide.StoreVersion{}).String(), "newest", page.Version.String())
 	f.cancelCall(table)
 	if f.mustRelay(now) {
 		f.opts.Relay(table, after)
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -30,6 +30,7 @@
 	"amaranthtide"
 	"amaranthtide/coordination/reading"
 	"amaranthtide/coordination/registration"
+	"amaranthtide/coordination/restore"
 	"amaranthtide/state/declared"
 	"amaranthtide/state/feed"
 	"amaranthtide/state/servers"
@@ -68,10 +69,13 @@
 // and may be called in any order of versions.
 type Rollouts interface {
 	// OrderChanged is called with the order of a service, absent if it was withdrawn.
-	OrderChanged(now time.Time, service amaranthtide.ServiceName, version amaranthtide.RowVersion, order amaranthtide.Option[amaranthtide.RolloutOrder])
+	OrderChanged(now time.Time, service amaranthtide.ServiceName, version amaranthtide.StoreVersion, order amaranthtide.Option[amaranthtide.RolloutOrder])
 	// StateChanged is called with the recorded state of a service's rollout, absent if it was
 	// removed.
-	StateChanged(now time.Time, service amaranthtide.ServiceName, version amaranthtide.RowVersion, state amaranthtide.Option[amaranthtide.RolloutState])
+	StateChanged(now time.Time, service amaranthtide.ServiceName, version amaranthtide.StoreVersion, state amaranthtide.Option[amaranthtide.RolloutState])
+	// StateLost is called when the store has come back from a copy without the recorded state, which holds
+	// nevertheless. version is that of the row that the store has instead, zero if it has none.
+	StateLost(now time.Time, service amaranthtide.ServiceName, version amaranthtide.StoreVersion)
 	// ServersListed is called with all listed servers after changes of the list, before requests
 	// may be sent to them.
 	ServersListed(now time.Time, listed []amaranthtide.Instance)
@@ -99,7 +103,7 @@
 	// Relay is called when this router has read changes of a table after the given version
 	// from the feed, and after each page of the polled table, also if it has no rows. After
 	// is absent if this is the first page of the table.
-	Relay func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion])
+	Relay func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion])
 	// Observe is called at the end of each call to the feed; may be nil.
 	Observe func(table amaranthtide.FeedTable, err error)
 	// OnServerGone is called with each server that was removed from the list; may be nil.
@@ -109,6 +113,8 @@
 	OnRoutersChanged func(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName)
 	// Rollouts receives the rows of rollouts; nil if the deployment has none.
 	Rollouts Rollouts
+	// OnRestored is called when the store has come back from an older copy of a table; may be nil.
+	OnRestored func(table amaranthtide.FeedTable)
 	// AtStart is called together with each call for the polled table until that table is known, if
 	// this router reads the feed to start. The other tables are read once it has returned or
 	// startPatience has passed; may be nil.
@@ -152,6 +158,10 @@
 	cancelCalls map[amaranthtide.FeedTable]context.CancelFunc
 	// lags holds the tables of which other routers know newer rows.
 	lags map[amaranthtide.FeedTable]lag
+	// kept holds the rows that were known before the store came back from an older copy and hold against
+	// those of the store. restoredAt is when this router learned of that, for each table.
+	kept       map[rowKey]restore.Verdict
+	restoredAt map[amaranthtide.FeedTable]time.Time
 	// unconfirmed holds the tables whose version is lower than that of the polled table.
 	// checking holds those that are read for that reason.
 	unconfirmed map[amaranthtide.FeedTable]lag
@@ -174,7 +184,7 @@
 // lag records since when a table has been at a version while a newer one is known.
 type lag struct {
 	since   time.Time
-	version amaranthtide.RowVersion
+	version amaranthtide.StoreVersion
 }
 
 type rowKey struct {
@@ -193,6 +203,9 @@
 	if opts.OnRoutersChanged == nil {
 		opts.OnRoutersChanged = func(time.Time, []amaranthtide.RouterEntry, []amaranthtide.VMName) {}
 	}
+	if opts.OnRestored == nil {
+		opts.OnRestored = func(amaranthtide.FeedTable) {}
+	}
 	if opts.Observe == nil {
 		opts.Observe = func(amaranthtide.FeedTable, error) {}
 	}
@@ -209,6 +222,8 @@
 		lags:        make(map[amaranthtide.FeedTable]lag),
 		unconfirmed: make(map[amaranthtide.FeedTable]lag),
 		checking:    amaranthtide.NewSet[amaranthtide.FeedTable](),
+		kept:        make(map[rowKey]restore.Verdict),
+		restoredAt:  make(map[amaranthtide.FeedTable]time.Time),
 		readable:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -338,51 +353,3 @@
 	case <-f.ctx.Done():
 	}
 }
-
-// run periodically removes lapsed servers.
-func (f *Follower) run() {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-f.ctx.Done():
-			return
-		case now := <-ticker.C:
-			f.expireServers(now)
-		}
-	}
-}
-
-func (f *Follower) expireServers(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.updateListReadability(now)
-	removed := f.serverList.Expire(now)
-	if len(removed) == 0 {
-		return
-	}
-	f.opts.Logger.Info("servers lapsed", "servers", removed)
-	f.publishServers(now, removed)
-}
-
-// Apply applies a page of a table and returns the rows that it changed.
-func (f *Follower) Apply(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage) []amaranthtide.FeedRow {
-	f.mu.Lock()
-	f.updateListReadability(now)
-	changed := f.opts.Rows.Apply(table, page)
-	if len(changed) == 0 {
-		f.mu.Unlock()
-		return nil
-	}
-	var effects effects
-	for _, row := range changed {
-		f.applyRow(now, row, &effects)
-	}
-	f.publishRollouts(now, &effects)
-	f.publishServers(now, effects.goneServers)
-	f.mu.Unlock()
-	if len(effects.routers)+len(effects.goneRouters) > 0 {
-		f.opts.OnRoutersChanged(now, effects.routers, effects.goneRouters)
-	}
-	return changed
-}
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -45,7 +45,7 @@
 	return &source{pages: make(map[amaranthtide.FeedTable]amaranthtide.FeedPage), calls: make(map[amaranthtide.FeedTable]int)}
 }
 
-func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
+func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
 	s.mu.Lock()
 	s.calls[table]++
 	_, known := after.Get()
@@ -71,7 +71,7 @@
 	if down {
 		return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "injected failure")
 	}
-	if from, known := after.Get(); known && page.Version <= from {
+	if from, known := after.Get(); known && !page.Version.After(from) {
 		select { // shortens the wait of a real feed
 		case <-time.After(20 * time.Millisecond):
 		case <-ctx.Done():
@@ -81,7 +81,7 @@
 	return page, nil
 }
 
-func (s *source) set(table amaranthtide.FeedTable, version amaranthtide.RowVersion, names ...string) {
+func (s *source) set(table amaranthtide.FeedTable, version amaranthtide.StoreVersion, names ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := amaranthtide.FeedPage{Whole: true, Version: version}
@@ -144,8 +144,8 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	source := newSource()
-	source.set(operatorTable, 1)
-	source.set(serversTable, 1, "e1")
+	source.set(operatorTable, ver(1))
+	source.set(serversTable, ver(1), "e1")
 	f := startFixture(t, source)
 	eventually(t, "the first server", func() bool { return f.servers.Len() == 1 })
 	return f
@@ -165,8 +165,8 @@
 		AtStart: atStart,
 		VM:      "vm-1", Feed: f.source, Decoder: reader{}, Tables: []amaranthtide.FeedTable{operatorTable, serversTable}, Rows: f.rows,
 		Configuration: declared.New(), Servers: f.servers, PolledTable: serversTable, Schedule: reading.NewSchedule(bound),
-		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
-			page, _ := f.rows.Since(table, after.Or(0))
+		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion]) {
+			page, _ := f.rows.Since(table, after.Or(ver(0)))
 			switch {
 			case len(page.Rows) > 0:
 				f.relayed.Add(1)
@@ -240,16 +240,16 @@
 	is := is.New(t)
 	f := newFixture(t)
 	now := time.Now()
-	is.True(!f.Behind(now, operatorTable, 1))
+	is.True(!f.Behind(now, operatorTable, ver(1)))
 	f.source.setHanging(true)
 	time.Sleep(100 * time.Millisecond) // lets the call in flight end, so that the next one hangs
-	f.source.set(operatorTable, 2)
-	is.True(!f.Behind(now, operatorTable, 2))
-	is.True(!f.Behind(now.Add(900*time.Millisecond), operatorTable, 2)) // the row may still be in transfer
+	f.source.set(operatorTable, ver(2))
+	is.True(!f.Behind(now, operatorTable, ver(2)))
+	is.True(!f.Behind(now.Add(900*time.Millisecond), operatorTable, ver(2))) // the row may still be in transfer
 	before := f.source.count(operatorTable)
-	is.True(f.Behind(now.Add(time.Second), operatorTable, 2))
+	is.True(f.Behind(now.Add(time.Second), operatorTable, ver(2)))
 	eventually(t, "another call", func() bool { return f.source.count(operatorTable) > before })
-	eventually(t, "the new version", func() bool { return !f.Behind(now.Add(time.Second), operatorTable, 2) })
+	eventually(t, "the new version", func() bool { return !f.Behind(now.Add(time.Second), operatorTable, ver(2)) })
 }
 
 // Guards against a change that reaches the fleet only after the longest wait of a call, because
@@ -259,11 +259,11 @@
 	f := newFixture(t)
 	f.source.setSilent(true)
 	time.Sleep(100 * time.Millisecond) // lets the call in flight end, so that the next one is silent
-	for version := amaranthtide.RowVersion(2); version < 5; version++ {
+	for version := ver(2); version.Before(ver(5)); version = ver(version.Number() + 1) {
 		start, relayed := time.Now(), f.relayed.Load()
 		f.source.set(operatorTable, version, "configuration")
 		f.source.set(serversTable, version, "e1") // answers for any table name the newest version
-		eventually(t, "the change", func() bool { return f.rows.Version(operatorTable).Or(0) == version })
+		eventually(t, "the change", func() bool { return f.rows.Version(operatorTable).Or(ver(0)) == version })
 		eventually(t, "a relayed change of each table", func() bool { return f.relayed.Load() >= relayed+2 })
 		if elapsed := time.Since(start); elapsed > bound {
 			t.Errorf("got: version %d after %v, want: at most %v", version, elapsed, bound)
@@ -279,9 +279,9 @@
 	f.source.setSilent(true)
 	time.Sleep(100 * time.Millisecond) // lets the call in flight end, so that the next one is silent
 	before := f.source.count(operatorTable)
-	f.source.set(operatorTable, 2)
-	f.source.set(serversTable, 2, "e1", "e2")
-	eventually(t, "a check", func() bool { return f.rows.Version(operatorTable).Or(0) == 2 })
+	f.source.set(operatorTable, ver(2))
+	f.source.set(serversTable, ver(2), "e1", "e2")
+	eventually(t, "a check", func() bool { return f.rows.Version(operatorTable).Or(ver(0)) == ver(2) })
 	time.Sleep(1600 * time.Millisecond) // more than two polls
 	is.Equal(f.source.count(operatorTable), before+1)
 }
@@ -290,14 +290,14 @@
 // second poll hangs.
 func TestSecondPollHangs(t *testing.T) {
 	source := newSource()
-	source.set(operatorTable, 1)
-	source.set(serversTable, 1, "e1")
+	source.set(operatorTable, ver(1))
+	source.set(serversTable, ver(1), "e1")
 	source.hangAfterFirst = true
 	f := startFixture(t, source)
-	eventually(t, "the first page", func() bool { return f.rows.Version(operatorTable).Or(0) == 1 })
-	source.set(operatorTable, 2)
+	eventually(t, "the first page", func() bool { return f.rows.Version(operatorTable).Or(ver(0)) == ver(1) })
+	source.set(operatorTable, ver(2))
 	start := time.Now()
-	eventually(t, "the second page", func() bool { return f.rows.Version(operatorTable).Or(0) == 2 })
+	eventually(t, "the second page", func() bool { return f.rows.Version(operatorTable).Or(ver(0)) == ver(2) })
 	if elapsed := time.Since(start); elapsed > bound {
 		t.Errorf("got: the second page after %v, want: at most %v", elapsed, bound)
 	}
@@ -310,10 +310,10 @@
 	f := newFixture(t)
 	now := time.Now()
 	for i := range 5 {
-		version := amaranthtide.RowVersion(2 + i)
+		version := ver(uint64(2 + i))
 		f.source.set(operatorTable, version)
-		eventually(t, "the version", func() bool { return f.rows.Version(operatorTable).Or(0) >= version })
-		is.True(!f.Behind(now.Add(time.Duration(i)*800*time.Millisecond), operatorTable, version+1))
+		eventually(t, "the version", func() bool { return !f.rows.Version(operatorTable).Or(ver(0)).Before(version) })
+		is.True(!f.Behind(now.Add(time.Duration(i)*800*time.Millisecond), operatorTable, ver(version.Number()+1)))
 	}
 }
 
@@ -334,7 +334,7 @@
 func TestReaderRelays(t *testing.T) {
 	f := newFixture(t)
 	before := f.relayed.Load()
-	f.source.set(serversTable, 2, "e1", "e2")
+	f.source.set(serversTable, ver(2), "e1", "e2")
 	eventually(t, "a relayed page", func() bool { return f.relayed.Load() > before })
 	eventually(t, "both servers", func() bool { return f.servers.Len() == 2 })
 }
@@ -354,7 +354,7 @@
 	f := newFixture(t)
 	f.source.setDown(true)
 	eventually(t, "an unavailable feed", func() bool { return f.Stale(time.Now()) })
-	f.source.set(serversTable, 5)
+	f.source.set(serversTable, ver(5))
 	f.source.setDown(false)
 	eventually(t, "an available feed", func() bool { return !f.Stale(time.Now()) })
 	time.Sleep(100 * time.Millisecond) // lets the removal be applied
@@ -366,7 +366,7 @@
 // unreadable rows that prevent other rows from being applied.
 func TestUnreadableRows(t *testing.T) {
 	f := newFixture(t)
-	f.source.set(serversTable, 3, "bad-1", "e2")
+	f.source.set(serversTable, ver(3), "bad-1", "e2")
 	eventually(t, "the readable server only", func() bool {
 		list := f.servers.ByService("s")
 		return len(list) == 1 && list[0].Name == "e2"
@@ -416,8 +416,10 @@
 	f.ApplyFromPeer(now, serversTable, amaranthtide.FeedPage{}, view)
 
 	late := now.Add(bound) // the readers have lost power
-	f.Apply(late, serversTable, amaranthtide.FeedPage{Version: 1})
-	removal := amaranthtide.FeedPage{Version: 5, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 5}}}
+	f.Apply(late, serversTable, amaranthtide.FeedPage{Version: ver(1)})
+	removal := amaranthtide.FeedPage{Version: ver(5), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: ver(5)}}}
 	f.ApplyFromPeer(late.Add(10*time.Millisecond), serversTable, removal, view)
 	is.Equal(f.servers.Len(), 0)
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -86,17 +86,27 @@
 		f.mu.Unlock()
 		return nil
 	}
-	if confirmedAt := now.Add(-view.Age); confirmed && view.Reader != f.opts.VM && confirmedAt.After(f.peerView) {
+	if confirmedAt := now.Add(-view.Age); confirmed && view.Era == f.eraWith(table, page) && view.Reader != f.opts.VM && confirmedAt.After(f.peerView) {
 		f.peerView, f.peerReader = confirmedAt, view.Reader
 		f.updateListReadability(now)
 	}
 	f.mu.Unlock()
-	if page.Version == 0 {
+	if page.Version.IsZero() {
 		return nil
 	}
 	return f.Apply(now, table, page)
 }
 
+// eraWith returns the era of the polled table once a page of a table is applied. A view of another era
+// confirms another history.
+func (f *Follower) eraWith(table amaranthtide.FeedTable, page amaranthtide.FeedPage) amaranthtide.StoreEra {
+	era := f.opts.Rows.Version(f.opts.PolledTable).Or(amaranthtide.StoreVersion{}).Era()
+	if table == f.opts.PolledTable && page.Whole {
+		era = max(era, page.Version.Era())
+	}
+	return era
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -117,7 +127,7 @@
 	if f.peerView.After(f.ownView) {
 		reader = f.peerReader
 	}
-	return amaranthtide.Some(amaranthtide.FeedView{Age: age, Reader: reader})
+	return amaranthtide.Some(amaranthtide.FeedView{Age: age, Reader: reader, Era: f.opts.Rows.Version(f.opts.PolledTable).Or(amaranthtide.StoreVersion{}).Era()})
 }
 
 // Reading reports whether this router reads the feed and the feed answers.
--- a/transport/follow/row.go
+++ b/transport/follow/row.go
@@ -17,13 +17,13 @@
 
 type orderChange struct {
 	service amaranthtide.ServiceName
-	version amaranthtide.RowVersion
+	version amaranthtide.StoreVersion
 	order   amaranthtide.Option[amaranthtide.RolloutOrder]
 }
 
 type stateChange struct {
 	service amaranthtide.ServiceName
-	version amaranthtide.RowVersion
+	version amaranthtide.StoreVersion
 	state   amaranthtide.Option[amaranthtide.RolloutState]
 }
 
@@ -36,7 +36,7 @@
 	}
 	decoded, err := f.opts.Decoder.Decode(now, row)
 	if err != nil {
-		f.opts.Logger.Warn("unreadable row treated as removed", "table", row.Table, "key", row.Key, "version", row.Version, "error", err)
+		f.opts.Logger.Warn("unreadable row treated as removed", "table", row.Table, "key", row.Key, "version", row.Version.String(), "error", err)
 		f.removeRow(now, key, row.Version, e)
 		return
 	}
@@ -45,7 +45,7 @@
 	}
 	if zone, ok := decoded.ZoneOutOfService.Get(); ok {
 		f.outZones[key] = zone
-		f.opts.Logger.Info("zone out of service", "zone", zone, "version", row.Version)
+		f.opts.Logger.Info("zone out of service", "zone", zone, "version", row.Version.String())
 	}
 	if order, ok := decoded.RolloutOrder.Get(); ok {
 		f.orders[key] = order.Service
@@ -59,7 +59,7 @@
 		f.serverNames[key] = in.Name
 		if f.serverList.Put(now, in) {
 			f.opts.Logger.Info("server listed", "server", in.Name, "service", in.Service, "zone", in.Zone,
-				"leaving", in.Leaving, "cold", !in.ColdUntil.IsZero(), "version", row.Version)
+				"leaving", in.Leaving, "cold", !in.ColdUntil.IsZero(), "version", row.Version.String())
 		}
 	}
 	if router, ok := decoded.Router.Get(); ok {
@@ -68,7 +68,7 @@
 	}
 }
 
-func (f *Follower) removeRow(now time.Time, key rowKey, version amaranthtide.RowVersion, e *effects) {
+func (f *Follower) removeRow(now time.Time, key rowKey, version amaranthtide.StoreVersion, e *effects) {
 	if service, ok := f.orders[key]; ok {
 		delete(f.orders, key)
 		e.orders = append(e.orders, orderChange{service, version, amaranthtide.None[amaranthtide.RolloutOrder]()})
--- a/transport/follow/start_test.go
+++ b/transport/follow/start_test.go
@@ -18,10 +18,10 @@
 func TestStartIgnoresRowsOfStalePeer(t *testing.T) {
 	is := is.New(t)
 	source := newSource()
-	source.set(operatorTable, 9)
-	source.set(serversTable, 9, "e2")
+	source.set(operatorTable, ver(9))
+	source.set(serversTable, ver(9), "e2")
 	f := startFixture(t, source)
-	old := amaranthtide.FeedPage{Whole: true, Version: 3, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "left", Version: 3, Value: []byte("{}")}}}
+	old := amaranthtide.FeedPage{Whole: true, Version: ver(3), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "left", Version: ver(3), Value: []byte("{}")}}}
 	f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(amaranthtide.FeedView{Age: time.Minute, Reader: "vm-2"}))
 	is.Equal(f.servers.Len(), 0)
 	eventually(t, "the listed server", func() bool { return f.servers.Len() == 1 })
@@ -36,7 +36,7 @@
 	source := newSource()
 	source.setDown(true)
 	f := startFixture(t, source)
-	old := amaranthtide.FeedPage{Whole: true, Version: 3, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 3, Value: []byte("{}")}}}
+	old := amaranthtide.FeedPage{Whole: true, Version: ver(3), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: ver(3), Value: []byte("{}")}}}
 	eventually(t, "the rows of the peer", func() bool {
 		f.ApplyFromPeer(time.Now(), serversTable, old, amaranthtide.Some(amaranthtide.FeedView{Age: time.Minute, Reader: "vm-2"}))
 		return f.servers.Len() == 1
@@ -47,10 +47,10 @@
 func TestStartAsksPeersFirst(t *testing.T) {
 	is := is.New(t)
 	source := newSource()
-	source.set(serversTable, 9, "e2")
+	source.set(serversTable, ver(9), "e2")
 	f := startFixture(t, source)
 	f.rank.Store(reading.NotReader)
-	page := amaranthtide.FeedPage{Whole: true, Version: 9, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e2", Version: 9, Value: []byte("{}")}}}
+	page := amaranthtide.FeedPage{Whole: true, Version: ver(9), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e2", Version: ver(9), Value: []byte("{}")}}}
 	f.ApplyFromPeer(time.Now(), serversTable, page, amaranthtide.Some(amaranthtide.FeedView{Age: 100 * time.Millisecond, Reader: "vm-2"}))
 	time.Sleep(600 * time.Millisecond)
 	is.Equal(f.servers.Len(), 1)
@@ -63,8 +63,8 @@
 	is := is.New(t)
 	for _, hangs := range []bool{false, true} {
 		source := newSource()
-		source.set(operatorTable, 1)
-		source.set(serversTable, 1, "e1")
+		source.set(operatorTable, ver(1))
+		source.set(serversTable, ver(1), "e1")
 		var returned atomic.Bool
 		f := startFixtureWith(t, source, func(ctx context.Context) {
 			if hangs {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -64,6 +64,7 @@
 	opts          Options
 	configuration *declared.Configuration
 	servers       *servers.Directory
+	rows          *feed.Tables
 	memory        *memory.Budget
 	bodies        *bodies.Budget
 	guard         *ingress.Guard
@@ -100,7 +101,7 @@
 	}
 	held := memory.New(memory.HeldLimit(opts.MemoryBytes))
 	g := &Gateway{
-		opts: opts, configuration: declared.New(), servers: servers.New(), memory: held, bodies: bodies.Within(held, memory.BodyShare/memory.HeldShare),
+		opts: opts, configuration: declared.New(), servers: servers.New(), rows: feed.New(), memory: held, bodies: bodies.Within(held, memory.BodyShare/memory.HeldShare),
 		shares: upstream.Descriptors(),
 	}
 	if opts.MaxConnections > 0 {
@@ -125,7 +126,7 @@
 
 func (g *Gateway) start() error {
 	opts, logger := g.opts, g.opts.Logger
-	feedTables, trafficCounter := feed.New(), traffic.New()
+	feedTables, trafficCounter := g.rows, traffic.New()
 	if err := g.registerGauges(trafficCounter); err != nil {
 		return err
 	}
@@ -145,7 +146,7 @@
 		VM: opts.Entry.VM, Feed: opts.Feed, Decoder: opts.Decoder, Tables: g.tables(), PolledTable: opts.PolledTable,
 		BatchedTables: []amaranthtide.FeedTable{opts.PolledTable, opts.RegistryTable}, Rows: feedTables, Configuration: g.configuration,
 		Servers: g.servers, Schedule: reading.NewSchedule(opts.ChangeBound), Position: g.position, Relay: g.relay,
-		Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), OnRoutersChanged: g.applyRegistry, Rollouts: g.rolloutRows(), AtStart: g.loadQuarantines(), Logger: logger.Named("follow"),
+		Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), OnRoutersChanged: g.applyRegistry, Rollouts: g.rolloutRows(), AtStart: g.loadQuarantines(), OnRestored: g.storeRestored, Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: incarnation, Seeds: opts.Seeds, Mesh: g.mesh,
@@ -161,7 +162,7 @@
 	}
 	g.follower.Start()
 	g.service = shutdown.New(g.dispatcher)
-	service := &observedService{Service: g.service, meter: g.meter, logger: logger.Named("request")}
+	service := &observedService{Service: g.service, meter: g.meter, storeEra: g.storeEra, logger: logger.Named("request")}
 	callerHandler := opts.NewCallerHandler(CallerHandlerOptions{Configuration: g.configuration, Service: service, Draining: g.service.Stopping, Bodies: g.bodies})
 	var err error
 	if g.callerServer, err = g.serve(opts.CallerListen, callerHandler, g.shares.Callers); err != nil {
@@ -207,7 +208,7 @@
 
 // relay forwards changes of the feed to other routers. The follower calls it instead of
 // peers.Exchange.Relay, since the follower is created before the exchange.
-func (g *Gateway) relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
+func (g *Gateway) relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion]) {
 	g.peers.Relay(table, after)
 }
 
--- a/transport/gateway/gauges.go
+++ b/transport/gateway/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthtide"
 	"amaranthtide/state/traffic"
 	"amaranthtide/transport/direct"
 	"amaranthtide/transport/ingress"
@@ -24,6 +25,8 @@
 		"amaranthtide.feeds.away":             {"Tables of the platform's feed that can't be read.", func() int64 { return g.unreadableTables(time.Now()) }},
 		"amaranthtide.feed.view.age":          {"Milliseconds since the platform's feed last confirmed this router's view; -1 if it never has.", func() int64 { return g.viewAgeMillis(time.Now()) }},
 		"amaranthtide.feed.reading":           {"1 if this router reads the platform's feed and the feed answers.", func() int64 { return g.reading(time.Now()) }},
+		"amaranthtide.store.era":              {"Era of the platform's store that this router's view is of: how often the store has come back from an older copy.", func() int64 { return int64(g.storeEra()) }},
+		"amaranthtide.store.rows.kept":        {"Rows that hold against those of a store that has come back from an older copy.", func() int64 { return int64(g.follower.Kept()) }},
 		"amaranthtide.routers.trusted":        {"Other routers of the zone that leave no question unanswered.", func() int64 { return int64(g.peers.ResponsivePeers(time.Now())) }},
 	}
 	for name, gauge := range gauges {
@@ -78,6 +81,11 @@
 		func() map[string]float64 { return g.dispatcher.AdmissionLoad() })
 }
 
+// storeEra returns the era of the store that this router's list of servers is of.
+func (g *Gateway) storeEra() amaranthtide.StoreEra {
+	return g.rows.Version(g.opts.PolledTable).Or(amaranthtide.StoreVersion{}).Era()
+}
+
 func (g *Gateway) viewAgeMillis(now time.Time) int64 {
 	view, ok := g.follower.View(now).Get()
 	if !ok {
--- a/transport/gateway/observed.go
+++ b/transport/gateway/observed.go
@@ -13,13 +13,16 @@
 // observedService wraps a Service to log and count the results of its requests.
 type observedService struct {
 	amaranthtide.Service
-	meter  *metrics.Meter
-	logger hclog.Logger
+	meter *metrics.Meter
+	// storeEra returns the era of the store that the view of this router is of.
+	storeEra func() amaranthtide.StoreEra
+	logger   hclog.Logger
 }
 
 // Serve implements amaranthtide.Service.
 func (s *observedService) Serve(ctx context.Context, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
 	aw := &observedWriter{AnswerWriter: w, meter: s.meter, req: req}
+	era := s.storeEra()
 	err := s.Service.Serve(ctx, req, aw)
 	took := time.Since(req.Arrived)
 	s.meter.RecordRequest(req, took, err)
@@ -31,6 +34,9 @@
 	if req.Stream {
 		fields = append(fields, "longestPauseMillis", aw.longestPause.Milliseconds(), "longestWriteMillis", aw.longestWrite.Milliseconds())
 	}
+	if era > 0 {
+		fields = append(fields, "storeEra", uint64(era))
+	}
 	switch kind := amaranthtide.KindOf(err); {
 	case err == nil:
 		s.logger.Info("request ended", fields...)
--- a/transport/gateway/quarantines.go
+++ b/transport/gateway/quarantines.go
@@ -37,6 +37,13 @@
 	return g.quarantines.Load
 }
 
+// storeRestored makes the quarantines be written again that the store has lost.
+func (g *Gateway) storeRestored(table amaranthtide.FeedTable) {
+	if g.quarantines != nil && table == g.opts.PolledTable {
+		g.quarantines.StoreRestored()
+	}
+}
+
 // setRouters passes the known routers to the components that depend on them.
 func (g *Gateway) setRouters(routers []amaranthtide.VMName) {
 	g.dispatcher.SetRouters(routers)
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -85,11 +85,14 @@
 	// View returns this router's view of the feed, absent if the feed has never confirmed it.
 	View(now time.Time) amaranthtide.Option[amaranthtide.FeedView]
 	// Behind reports whether this router should have received a row of that version by now.
-	Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.RowVersion) bool
+	Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.StoreVersion) bool
 	// Reading reports whether this router reads the feed and the feed answers.
 	Reading(now time.Time) bool
 	// Stale reports whether rows should be requested from any router that may have them.
 	Stale(now time.Time) bool
+	// RestoreAge returns the time since this router learned that the store has come back from an older
+	// copy of a table; 0 if it hasn't.
+	RestoreAge(now time.Time, table amaranthtide.FeedTable) time.Duration
 }
 
 // Options are the dependencies and settings of an Exchange. All but Seeds, RolloutTable, Rollouts
--- a/transport/peers/exchange_test.go
+++ b/transport/peers/exchange_test.go
@@ -107,7 +107,9 @@
 func (*follower) View(time.Time) amaranthtide.Option[amaranthtide.FeedView] {
 	return amaranthtide.Some(amaranthtide.FeedView{})
 }
-func (*follower) Behind(time.Time, amaranthtide.FeedTable, amaranthtide.RowVersion) bool {
+func (*follower) RestoreAge(time.Time, amaranthtide.FeedTable) time.Duration { return 0 }
+
+func (*follower) Behind(time.Time, amaranthtide.FeedTable, amaranthtide.StoreVersion) bool {
 	return false
 }
 func (f *follower) Reading(time.Time) bool { return f.reading.Load() }
@@ -161,8 +163,8 @@
 	n := newNetwork()
 	start(t, "vm-a", n, &follower{})
 	before := n.count(message.TopicRowsRequest)
-	page := amaranthtide.FeedPage{Version: 7, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 7, Value: []byte("{}")}}}
-	n.deliver(t, message.TopicRows, message.NewRows(serversTable, 5, page, amaranthtide.Some(amaranthtide.FeedView{})))
+	page := amaranthtide.FeedPage{Version: ver(7), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: ver(7), Value: []byte("{}")}}}
+	n.deliver(t, message.TopicRows, message.NewRows(serversTable, ver(5), page, amaranthtide.Some(amaranthtide.FeedView{})))
 	for deadline := time.Now().Add(200 * time.Millisecond); n.count(message.TopicRowsRequest) == before; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("got: no request within 200 ms, want: one")
@@ -175,9 +177,9 @@
 func TestDeclinedRowsAreNotRequestedAgain(t *testing.T) {
 	n := newNetwork()
 	start(t, "vm-a", n, &follower{})
-	page := amaranthtide.FeedPage{Whole: true, Version: 9, Rows: []amaranthtide.FeedRow{{Table: registryTable, Key: "vm-b", Version: 9, Value: []byte("{}")}}}
-	answer := message.NewRows(registryTable, 0, page, amaranthtide.None[amaranthtide.FeedView]())
-	answer.Answer, answer.Newest = true, []message.TableVersion{{Table: string(registryTable), Version: 9}}
+	page := amaranthtide.FeedPage{Whole: true, Version: ver(9), Rows: []amaranthtide.FeedRow{{Table: registryTable, Key: "vm-b", Version: ver(9), Value: []byte("{}")}}}
+	answer := message.NewRows(registryTable, ver(0), page, amaranthtide.None[amaranthtide.FeedView]())
+	answer.Answer, answer.Newest = true, []message.TableVersion{message.NewTableVersion(registryTable, ver(9))}
 	before := n.count(message.TopicRowsRequest)
 	const answers = 20
 	for range answers {
@@ -188,3 +190,5 @@
 		t.Errorf("got: %d requests after %d declined answers, want: at most 2", got, answers)
 	}
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/transport/peers/fleet_test.go
+++ b/transport/peers/fleet_test.go
@@ -35,11 +35,13 @@
 	silent         amaranthtide.Set[amaranthtide.VMName]
 	registry       map[amaranthtide.VMName]amaranthtide.FeedRow
 	entries        map[string]amaranthtide.RouterEntry
-	version        amaranthtide.RowVersion
+	version        amaranthtide.StoreVersion
 	feedDown       bool
 	feedCalls      map[amaranthtide.FeedTable]int
 	registryWrites int
-	messages       int
+	// registeredAt holds the times of these writes.
+	registeredAt []time.Time
+	messages     int
 	// messageLimit is the number of messages after which further ones are dropped, so that
 	// an exchange without end fails a test instead of hanging it; 0 is no limit.
 	messageLimit int
@@ -110,7 +112,7 @@
 }
 
 // Next implements amaranthtide.Feed. Only the table of routers has rows.
-func (n *node) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
+func (n *node) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
 	f := n.fleet
 	f.mu.Lock()
 	f.feedCalls[table]++
@@ -132,7 +134,7 @@
 			return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "feed is unavailable")
 		}
 		from, known := after.Get()
-		if !known || page.Version > from && len(page.Rows) > 0 {
+		if !known || from.Era() != page.Version.Era() || page.Version.After(from) && len(page.Rows) > 0 {
 			return page, nil
 		}
 		if !time.Now().Before(deadline) {
@@ -143,7 +145,7 @@
 
 // page returns a whole table. The caller holds mu.
 func (f *fleet) page(table amaranthtide.FeedTable) amaranthtide.FeedPage {
-	page := amaranthtide.FeedPage{Whole: true, Version: max(1, f.version)}
+	page := amaranthtide.FeedPage{Whole: true, Version: amaranthtide.NewStoreVersion(f.version.Era(), max(1, f.version.Number()))}
 	if table != registryTable {
 		return page
 	}
@@ -158,7 +160,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registryWrites++
-	f.version++
+	f.version = amaranthtide.NewStoreVersion(f.version.Era(), f.version.Number()+1)
+	f.registeredAt = append(f.registeredAt, time.Now())
 	f.entries[string(e.VM)] = e
 	f.registry[e.VM] = amaranthtide.FeedRow{Key: string(e.VM), Version: f.version, Table: registryTable, Value: []byte("{}")}
 	return nil
@@ -200,10 +203,10 @@
 	}
 	n.rows = feed.New()
 	n.follow = follow.New(follow.Options{
-		VM: n.entry.VM, Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, Rows: n.rows,
+		VM: n.entry.VM, Feed: n, Decoder: n, Tables: []amaranthtide.FeedTable{serversTable, operatorTable, registryTable}, PolledTable: serversTable, BatchedTables: []amaranthtide.FeedTable{serversTable, registryTable}, Rows: n.rows,
 		Configuration: declared.New(), Servers: servers.New(), Schedule: reading.NewSchedule(bound),
 		Position: func(now time.Time) reading.Position { return n.Position(now) },
-		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
+		Relay: func(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion]) {
 			n.Relay(table, after)
 		},
 		OnRoutersChanged: func(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName) {
@@ -262,6 +265,16 @@
 	f.feedDown = down
 }
 
+// restore makes the feed come back in the next era from an empty copy.
+func (f *fleet) restore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = amaranthtide.NewStoreVersion(f.version.Era()+1, 0)
+	f.registry = make(map[amaranthtide.VMName]amaranthtide.FeedRow)
+	f.feedDown, f.registryWrites, f.registeredAt = false, 0, nil
+	clear(f.feedCalls)
+}
+
 func (f *fleet) limitMessages(limit int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/transport/peers/loads.go
+++ b/transport/peers/loads.go
@@ -223,7 +223,7 @@
 	if names != nil {
 		e.opts.OnRoutersChanged(names)
 	}
-	newest := map[amaranthtide.FeedTable]amaranthtide.RowVersion{e.opts.DeclaredTable: r.DeclaredVersion, e.opts.RegistryTable: r.RegistryVersion}
+	newest := map[amaranthtide.FeedTable]amaranthtide.StoreVersion{e.opts.DeclaredTable: r.DeclaredVersion, e.opts.RegistryTable: r.RegistryVersion}
 	for table, version := range newest {
 		if e.opts.Follower.Behind(now, table, version) {
 			e.requestRowsOf([]netip.AddrPort{r.From.Address}, table)
--- a/transport/peers/registry.go
+++ b/transport/peers/registry.go
@@ -1,9 +1,11 @@
 package peers
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/coordination/restore"
 )
 
 const (
@@ -17,11 +19,19 @@
 // keepRegistered writes this router's entry to the registry whenever the registry is known
 // and lacks it.
 func (e *Exchange) keepRegistered() {
+	era := amaranthtide.None[amaranthtide.StoreEra]()
 	for e.ctx.Err() == nil {
 		if !e.registrationMissing() {
 			e.sleep(registrationCheckInterval)
 			continue
 		}
+		if previous, current := era, e.registryEra(); previous != amaranthtide.Some(current) {
+			era = amaranthtide.Some(current)
+			if previous != amaranthtide.None[amaranthtide.StoreEra]() {
+				e.sleep(rand.N(restore.Spread(e.routerCount()))) // all routers of the fleet write theirs
+				continue
+			}
+		}
 		if err := e.opts.Registrar.Register(e.ctx, e.opts.Self); err != nil {
 			e.opts.Logger.Warn("registration of this router failed", "error", err)
 			e.sleep(registrationCheckInterval)
@@ -31,10 +41,24 @@
 	}
 }
 
+// registryEra returns the era of the store that the known registry is of.
+func (e *Exchange) registryEra() amaranthtide.StoreEra {
+	return e.opts.Rows.Version(e.opts.RegistryTable).Or(amaranthtide.StoreVersion{}).Era()
+}
+
+func (e *Exchange) routerCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.routers) + 1
+}
+
+// registrationMissing reports whether the registry lacks this router's entry, whose key is the name of the
+// VM. An entry that only holds against a restored store is missing there.
 func (e *Exchange) registrationMissing() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.registryKnown() && e.registeredEntry != e.opts.Self
+	isLost := e.opts.Rows.IsHeld(e.opts.RegistryTable, string(e.opts.Self.VM))
+	return e.registryKnown() && (isLost || e.registeredEntry != e.opts.Self)
 }
 
 // registryKnown reports whether this router has the table of routers. Until then the known
--- a/transport/peers/requests.go
+++ b/transport/peers/requests.go
@@ -110,8 +110,8 @@
 // version: the row was removed.
 func (e *Exchange) requestMissed(now time.Time, sender netip.AddrPort, newest []message.TableVersion) {
 	for _, n := range newest {
-		table := amaranthtide.FeedTable(n.Table)
-		if amaranthtide.RowVersion(n.Version) > e.opts.Rows.Version(table).Or(0) && !e.requestPending(now, sender, table) {
+		table, version := n.ToDomain()
+		if version.After(e.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{})) && !e.requestPending(now, sender, table) {
 			e.requestRowsOf([]netip.AddrPort{sender}, table)
 		}
 	}
@@ -148,7 +148,7 @@
 func (e *Exchange) requestRowsOf(to []netip.AddrPort, tables ...amaranthtide.FeedTable) {
 	request := &message.RowsRequest{}
 	for _, table := range tables {
-		request.Tables = append(request.Tables, message.TableVersion{Table: string(table), Version: uint64(e.opts.Rows.Version(table).Or(0))})
+		request.Tables = append(request.Tables, message.NewTableVersion(table, e.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{})))
 	}
 	e.publish(message.TopicRowsRequest, request, to)
 }
--- a/transport/peers/rollouts_test.go
+++ b/transport/peers/rollouts_test.go
@@ -106,7 +106,7 @@
 func TestRollbackReachesAllRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, nodes, known := rolloutFleet(t)
-		rollback := amaranthtide.RolloutState{Service: "app", Order: 7, To: "v2", Stage: amaranthtide.RolloutRolledBack, Reason: "failures"}
+		rollback := amaranthtide.RolloutState{Service: "app", Order: ver(7), To: "v2", Stage: amaranthtide.RolloutRolledBack, Reason: "failures"}
 		first := nodes[len(nodes)-1] // neither a hub of the first zone nor the first reader
 		known[first.entry.VM].MergeRollbacks(time.Now(), []amaranthtide.RolloutState{rollback})
 		first.SendRollbacks(time.Now())
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -27,8 +27,8 @@
 func (e *Exchange) newestRows() []message.TableVersion {
 	var newest []message.TableVersion
 	for _, table := range e.tables() {
-		version := min(e.opts.Rows.MaxRowVersion(table), e.opts.Rows.Version(table).Or(0))
-		newest = append(newest, message.TableVersion{Table: string(table), Version: uint64(version)})
+		version := e.opts.Rows.MaxRowVersion(table).Min(e.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{}))
+		newest = append(newest, message.NewTableVersion(table, version))
 	}
 	return newest
 }
@@ -38,7 +38,7 @@
 // without rows tells them that this router can read the feed. The first page of a table is
 // replaced by such a page, since its size grows with the fleet: routers that lack rows
 // request them.
-func (e *Exchange) Relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion]) {
+func (e *Exchange) Relay(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion]) {
 	now := time.Now()
 	e.mu.Lock()
 	to := e.relayTargets(now)
@@ -48,7 +48,7 @@
 
 // newRows returns a message with all changes of a table after the given version, without
 // rows if that is absent or if not all changes since then are kept.
-func (e *Exchange) newRows(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.RowVersion], view amaranthtide.Option[amaranthtide.FeedView]) *message.Rows {
+func (e *Exchange) newRows(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], view amaranthtide.Option[amaranthtide.FeedView]) *message.Rows {
 	version, known := after.Get()
 	page, _ := e.opts.Rows.Since(table, version)
 	if !known || page.Whole {
@@ -90,8 +90,9 @@
 		e.sendEvidenceTo(now, []netip.AddrPort{sender}) // the sender starts, and may get requests once it has the rows
 	}
 	for i, requested := range m.Tables {
-		table, after := amaranthtide.FeedTable(requested.Table), amaranthtide.RowVersion(requested.Version)
+		table, after := requested.ToDomain()
 		page, changed := e.opts.Rows.Since(table, after)
+		page.RestoreAge = e.opts.Follower.RestoreAge(now, table)
 		if i == 0 || changed {
 			answer := message.NewRows(table, after, page, view)
 			answer.Answer, answer.Newest = true, e.newestRows()
@@ -117,16 +118,16 @@
 		e.opts.Logger.Warn("rows message dropped", "sender", sender, "error", err)
 		return
 	}
-	if known := e.opts.Rows.Version(table).Or(0); page.Version > 0 && !page.Whole && amaranthtide.RowVersion(m.After) > known {
+	if known := e.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{}); !page.Version.IsZero() && !page.Whole && m.AfterVersion().After(known) {
 		// Changes before these rows were missed.
 		page.Version = known
 		e.requestRowsOf([]netip.AddrPort{sender}, table)
 	}
 	e.opts.Logger.Debug("rows received from another router", "sender", msg.Metadata.Get(mesh.MetadataSender), "table", table,
-		"rows", len(page.Rows), "version", page.Version)
+		"rows", len(page.Rows), "version", page.Version.String())
 	changed := e.applyRows(now, &m, table, page)
 	// If the rows were declined, requesting them again at once would yield the same answer.
-	if e.opts.Rows.Version(table).Or(0) >= page.Version {
+	if !e.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{}).Before(page.Version) {
 		e.clearPendingRequest(sender, table)
 	}
 	e.requestMissed(now, sender, m.Newest)
@@ -139,7 +140,7 @@
 func (e *Exchange) applyRows(now time.Time, m *message.Rows, table amaranthtide.FeedTable, page amaranthtide.FeedPage) (changed bool) {
 	view := m.View()
 	if _, confirmed := view.Get(); confirmed && e.lacksPolledRows(m, table, page) {
-		if page.Version == 0 {
+		if page.Version.IsZero() {
 			return false
 		}
 		view = amaranthtide.None[amaranthtide.FeedView]()
@@ -150,12 +151,13 @@
 // lacksPolledRows reports whether this router lacks polled rows that the message names, also
 // once it has applied the message's page.
 func (e *Exchange) lacksPolledRows(m *message.Rows, table amaranthtide.FeedTable, page amaranthtide.FeedPage) bool {
-	have := e.opts.Rows.Version(e.opts.PolledTable).Or(0)
+	have := e.opts.Rows.Version(e.opts.PolledTable).Or(amaranthtide.StoreVersion{})
 	if table == e.opts.PolledTable {
-		have = max(have, page.Version)
+		have = have.Max(page.Version)
 	}
 	return slices.ContainsFunc(m.Newest, func(newest message.TableVersion) bool {
-		return newest.Table == string(e.opts.PolledTable) && amaranthtide.RowVersion(newest.Version) > have
+		table, version := newest.ToDomain()
+		return table == e.opts.PolledTable && version.After(have)
 	})
 }
 
@@ -184,6 +186,6 @@
 	}
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	after := amaranthtide.Some(amaranthtide.RowVersion(m.After))
+	after := amaranthtide.Some(m.AfterVersion())
 	e.publish(message.TopicRows, e.newRows(amaranthtide.FeedTable(m.Table), after, m.View()), to)
 }
--- a/transport/peers/rows_test.go
+++ b/transport/peers/rows_test.go
@@ -107,11 +107,11 @@
 		zones := startZones(t, f, "a", 8)
 		defer closeAll(zones)
 		time.Sleep(6 * time.Second)
-		page := amaranthtide.FeedPage{Whole: true, Version: 900}
+		page := amaranthtide.FeedPage{Whole: true, Version: ver(900)}
 		for i := range 1000 {
-			page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: serversTable, Key: fmt.Sprint("e", i), Version: 900, Value: make([]byte, 100)})
+			page.Rows = append(page.Rows, amaranthtide.FeedRow{Table: serversTable, Key: fmt.Sprint("e", i), Version: ver(900), Value: make([]byte, 100)})
 		}
-		changed := amaranthtide.FeedPage{Version: 901, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e0", Version: 901, Value: make([]byte, 100)}}}
+		changed := amaranthtide.FeedPage{Version: ver(901), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e0", Version: ver(901), Value: make([]byte, 100)}}}
 		for _, n := range zones["a"] {
 			// The messages are counted but not delivered: answers to the requests that follow would
 			// count too, if they came in time.
@@ -128,7 +128,7 @@
 				return f.bytes[n.entry.VM] - before
 			}
 			n.rows.Apply(serversTable, page)
-			if got := sent(func() { n.Relay(serversTable, amaranthtide.None[amaranthtide.RowVersion]()) }); got > 1000 {
+			if got := sent(func() { n.Relay(serversTable, amaranthtide.None[amaranthtide.StoreVersion]()) }); got > 1000 {
 				t.Errorf("%s: got: %d bytes for a whole table, want: a notice to 7 routers", n.entry.VM, got)
 			}
 			n.rows.Apply(serversTable, changed)
@@ -180,18 +180,18 @@
 		zones := startZones(t, f, "a", 3)
 		defer closeAll(zones)
 		time.Sleep(6 * time.Second)
-		known := amaranthtide.FeedRow{Table: serversTable, Key: "e1", Version: 901, Value: []byte("x")}
-		added := amaranthtide.FeedRow{Table: serversTable, Key: "e2", Version: 902, Value: []byte("x")}
+		known := amaranthtide.FeedRow{Table: serversTable, Key: "e1", Version: ver(901), Value: []byte("x")}
+		added := amaranthtide.FeedRow{Table: serversTable, Key: "e2", Version: ver(902), Value: []byte("x")}
 		for _, n := range zones["a"] {
-			n.rows.Apply(serversTable, amaranthtide.FeedPage{Whole: true, Version: 900})
+			n.rows.Apply(serversTable, amaranthtide.FeedPage{Whole: true, Version: ver(900)})
 		}
 		reader := zones["a"][0]
-		reader.rows.Apply(serversTable, amaranthtide.FeedPage{Version: 900, Rows: []amaranthtide.FeedRow{known}})
-		reader.rows.Apply(serversTable, amaranthtide.FeedPage{Version: 902, Rows: []amaranthtide.FeedRow{known, added}})
-		reader.Relay(serversTable, amaranthtide.Some(amaranthtide.RowVersion(900)))
+		reader.rows.Apply(serversTable, amaranthtide.FeedPage{Version: ver(900), Rows: []amaranthtide.FeedRow{known}})
+		reader.rows.Apply(serversTable, amaranthtide.FeedPage{Version: ver(902), Rows: []amaranthtide.FeedRow{known, added}})
+		reader.Relay(serversTable, amaranthtide.Some(ver(900)))
 		time.Sleep(100 * time.Millisecond)
 		for _, n := range zones["a"] {
-			page, _ := n.rows.Since(serversTable, 900)
+			page, _ := n.rows.Since(serversTable, ver(900))
 			is.Equal(len(page.Rows), 2)
 		}
 	})
@@ -203,12 +203,12 @@
 func TestUndeliverableRowsAreNotRequestedAgain(t *testing.T) {
 	for name, rows := range map[string]struct{ sender, receiver amaranthtide.FeedPage }{
 		"beyond a gap": {
-			amaranthtide.FeedPage{Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "a", Version: 900, Value: []byte("x")}}},
+			amaranthtide.FeedPage{Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "a", Version: ver(900), Value: []byte("x")}}},
 			amaranthtide.FeedPage{},
 		},
 		"removed": {
-			amaranthtide.FeedPage{Version: 900, Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "a", Version: 900}}},
-			amaranthtide.FeedPage{Whole: true, Version: 950},
+			amaranthtide.FeedPage{Version: ver(900), Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "a", Version: ver(900)}}},
+			amaranthtide.FeedPage{Whole: true, Version: ver(950)},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -261,11 +261,11 @@
 		defer closeAll(zones)
 		time.Sleep(6 * time.Second)
 		sender := zones["a"][0]
-		sender.rows.Apply(serversTable, amaranthtide.FeedPage{Version: 901, Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: 901, Value: []byte("x")}}})
-		sender.Relay(serversTable, amaranthtide.Some(amaranthtide.RowVersion(901))) // nothing new after that version
+		sender.rows.Apply(serversTable, amaranthtide.FeedPage{Version: ver(901), Rows: []amaranthtide.FeedRow{{Table: serversTable, Key: "e1", Version: ver(901), Value: []byte("x")}}})
+		sender.Relay(serversTable, amaranthtide.Some(ver(901))) // nothing new after that version
 		time.Sleep(50 * time.Millisecond)
 		for _, n := range zones["a"] {
-			is.Equal(n.rows.MaxRowVersion(serversTable), amaranthtide.RowVersion(901))
+			is.Equal(n.rows.MaxRowVersion(serversTable), ver(901))
 		}
 	})
 }
--- a/transport/quarantine/recorder.go
+++ b/transport/quarantine/recorder.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// StoreRestored records that the store has come back from an older copy. The quarantines in force that it lacks
+// are written again.
+func (r *Recorder) StoreRestored() {
+	r.mu.Lock()
+	r.table.Forget()
+	r.mu.Unlock()
+	r.wakeUp()
+}
+
 // wakeUp makes run compute again when its next round is due, without waiting for it.
 func (r *Recorder) wakeUp() {
 	select {
--- a/transport/quarantine/recorder_test.go
+++ b/transport/quarantine/recorder_test.go
@@ -19,7 +19,7 @@
 type store struct {
 	mu                    sync.Mutex
 	rows                  map[int]amaranthtide.QuarantineRow
-	version               amaranthtide.RowVersion
+	version               amaranthtide.StoreVersion
 	reads, writes         int
 	losesResponses, hangs bool
 }
@@ -44,7 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
-	s.version++
+	s.version = ver(s.version.Number() + 1)
 	for _, row := range w.Puts {
 		if s.rows[row.Slot].Version != row.Version {
 			return amaranthtide.Errorf(amaranthtide.KindConflict, "injected conflict")
@@ -121,3 +121,5 @@
 	}
 	is.True(time.Since(began) < time.Second)
 }
+
+func ver(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(0, n) }
--- a/transport/rollout/fleet_test.go
+++ b/transport/rollout/fleet_test.go
@@ -71,7 +71,7 @@
 func newFleet(t *testing.T, behave func(version amaranthtide.VersionName) (time.Duration, bool)) *fleet {
 	t.Helper()
 	f := &fleet{loads: traffic.New(), behave: behave, sent: make(map[amaranthtide.VersionName][]time.Time)}
-	f.store = &store{fleet: f, version: 10}
+	f.store = &store{fleet: f, version: ver(10)}
 	f.servers = newServers("v1")
 	for i := range zones * perZone {
 		r := f.start(i)
@@ -181,13 +181,13 @@
 	version, order, orderVersion, state, stateVersion := s.version, s.order, s.orderVersion, s.state, s.stateVersion
 	s.mu.Unlock()
 	for _, table := range []amaranthtide.FeedTable{opTable, ownTable} {
-		r.rows.Apply(table, amaranthtide.FeedPage{Version: version})
+		r.rows.Apply(table, amaranthtide.FeedPage{Whole: true, Version: version})
 	}
 	now := time.Now()
-	if stateVersion > 0 {
+	if !stateVersion.IsZero() {
 		r.StateChanged(now, service, stateVersion, state)
 	}
-	if orderVersion > 0 {
+	if !orderVersion.IsZero() {
 		r.OrderChanged(now, service, orderVersion, order)
 	}
 }
@@ -279,9 +279,9 @@
 
 // RecordRollout implements amaranthtide.RolloutRecorder. A router that is cut off doesn't reach the
 // store either.
-func (r *router) RecordRollout(ctx context.Context, previous amaranthtide.RowVersion, state amaranthtide.RolloutState) (amaranthtide.RowVersion, error) {
+func (r *router) RecordRollout(ctx context.Context, previous amaranthtide.StoreVersion, state amaranthtide.RolloutState) (amaranthtide.StoreVersion, error) {
 	if r.cut.Load() {
-		return 0, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "injected cut")
+		return ver(0), amaranthtide.Errorf(amaranthtide.KindPlatformDown, "injected cut")
 	}
 	return r.fleet.store.RecordRollout(ctx, previous, state)
 }
--- a/transport/rollout/judge.go
+++ b/transport/rollout/judge.go
@@ -47,7 +47,7 @@
 // next returns the step that is due for a service, and false if none is. The caller holds the lock
 // of the service.
 func (r *Runner) next(now time.Time, s *service, age time.Duration) (step, bool) {
-	if s.unrecorded() {
+	if s.unrecorded() || s.lost {
 		state, _ := s.current()
 		return step{state: state}, true
 	}
@@ -67,7 +67,7 @@
 		}
 		if !s.rejected {
 			s.rejected = true
-			r.opts.Logger.Warn("order of a rollout ignored", "service", string(s.name), "to", string(order.To), "order", uint64(s.orderVersion), "error", err)
+			r.opts.Logger.Warn("order of a rollout ignored", "service", string(s.name), "to", string(order.To), "order", s.orderVersion.String(), "error", err)
 		}
 	}
 	return running, isDue
@@ -78,7 +78,7 @@
 	s.observe(now, state, r.counter.Totals(s.name))
 	e := r.evidence(now, s, state)
 	e.Age, e.OrderStands = age, true
-	isWithdrawn := s.withdrawn(now, state, r.opts.Rows.Version(r.opts.DeclaredTable).Or(0))
+	isWithdrawn := s.withdrawn(now, state, r.opts.Rows.Version(r.opts.DeclaredTable).Or(amaranthtide.StoreVersion{}))
 	if !isWithdrawn || r.demandsRollback(state, e) {
 		next, due := decision.Next(now, state, e, r.opts.Limits)
 		isRollback := next.Stage == amaranthtide.RolloutRolledBack
--- a/transport/rollout/record.go
+++ b/transport/rollout/record.go
@@ -11,7 +11,7 @@
 
 // write is a step to record, after the state in a row of the version previous.
 type write struct {
-	previous amaranthtide.RowVersion
+	previous amaranthtide.StoreVersion
 	state    amaranthtide.RolloutState
 }
 
@@ -45,8 +45,8 @@
 		}
 	})
 	fields := []any{
-		"service", string(w.state.Service), "to", string(w.state.To), "stage", w.state.Stage.String(), "share", percent(w.state.Share), "order", uint64(w.state.Order),
-		"previous", uint64(w.previous), "version", uint64(version),
+		"service", string(w.state.Service), "to", string(w.state.To), "stage", w.state.Stage.String(), "share", percent(w.state.Share), "order", w.state.Order.String(),
+		"previous", w.previous.String(), "version", version.String(),
 	}
 	switch {
 	case err == nil:
--- a/transport/rollout/runner.go
+++ b/transport/rollout/runner.go
@@ -248,23 +248,37 @@
 }
 
 // OrderChanged implements follow.Rollouts.
-func (r *Runner) OrderChanged(now time.Time, name amaranthtide.ServiceName, version amaranthtide.RowVersion, order amaranthtide.Option[amaranthtide.RolloutOrder]) {
+func (r *Runner) OrderChanged(now time.Time, name amaranthtide.ServiceName, version amaranthtide.StoreVersion, order amaranthtide.Option[amaranthtide.RolloutOrder]) {
 	r.update(now, name, func(s *service) {
-		if version <= s.orderVersion {
+		if !version.After(s.orderVersion) {
+			return
+		}
+		if s.continues(version, order) {
+			s.orderVersion = version
+			s.adopt()
 			return
 		}
 		s.order, s.orderVersion, s.orderAt, s.rejected = order, version, now, false
+		s.adopt()
 		if o, ok := order.Get(); ok {
-			r.opts.Logger.Info("rollout ordered", "service", string(name), "to", string(o.To), "duration", o.Duration.String(), "order", uint64(version))
+			r.opts.Logger.Info("rollout ordered", "service", string(name), "to", string(o.To), "duration", o.Duration.String(), "order", version.String())
 			return
 		}
-		r.opts.Logger.Info("order of a rollout withdrawn", "service", string(name), "version", uint64(version))
+		r.opts.Logger.Info("order of a rollout withdrawn", "service", string(name), "version", version.String())
 	})
 }
 
 // StateChanged implements follow.Rollouts.
-func (r *Runner) StateChanged(now time.Time, name amaranthtide.ServiceName, version amaranthtide.RowVersion, state amaranthtide.Option[amaranthtide.RolloutState]) {
-	r.update(now, name, func(s *service) { s.setState(now, version, state) })
+func (r *Runner) StateChanged(now time.Time, name amaranthtide.ServiceName, version amaranthtide.StoreVersion, state amaranthtide.Option[amaranthtide.RolloutState]) {
+	r.update(now, name, func(s *service) {
+		s.setState(now, version, state)
+		s.adopt()
+	})
+}
+
+// StateLost implements follow.Rollouts. The state is recorded again.
+func (r *Runner) StateLost(now time.Time, name amaranthtide.ServiceName, version amaranthtide.StoreVersion) {
+	r.update(now, name, func(s *service) { s.lose(version) })
 }
 
 // ServersListed implements follow.Rollouts.
--- a/transport/rollout/runner_test.go
+++ b/transport/rollout/runner_test.go
@@ -317,7 +317,7 @@
 						r.close()
 					}
 					f.store.setOrder(amaranthtide.None[amaranthtide.RolloutOrder]())
-					f.store.set(func() { f.store.orderVersion = 0 }) // a table that is read whole lacks the row
+					f.store.set(func() { f.store.orderVersion = ver(0) }) // a table that is read whole lacks the row
 					for i := range f.all() {
 						f.restart(i)
 					}
@@ -375,7 +375,7 @@
 	simulate(t, good, func(t *testing.T, f *fleet) {
 		order := amaranthtide.RolloutOrder{Service: "unknown", To: "v2", Duration: orderDuration}
 		for _, r := range f.all() {
-			r.OrderChanged(time.Now(), order.Service, 11, amaranthtide.Some(order))
+			r.OrderChanged(time.Now(), order.Service, ver(11), amaranthtide.Some(order))
 		}
 		time.Sleep(orderDuration)
 		if stage := f.store.stage(); stage != 0 {
--- a/transport/rollout/service.go
+++ b/transport/rollout/service.go
@@ -25,7 +25,7 @@
 	// order is the operators' order, orderVersion the version of the last change of its row, which
 	// was received at orderAt. rejected is set once it has been logged that it can't be carried out.
 	order        amaranthtide.Option[amaranthtide.RolloutOrder]
-	orderVersion amaranthtide.RowVersion
+	orderVersion amaranthtide.StoreVersion
 	orderAt      time.Time
 	// missingSince is when the row of the order was first missing in a complete table, although
 	// no change has removed it; zero if it isn't.
@@ -34,29 +34,31 @@
 	// recorded is the recorded state, in a row of the version recordedVersion; 0 means that there
 	// is none. stateVersion is the version of the last change of that row.
 	recorded        amaranthtide.Option[amaranthtide.RolloutState]
-	recordedVersion amaranthtide.RowVersion
-	stateVersion    amaranthtide.RowVersion
+	recordedVersion amaranthtide.StoreVersion
+	stateVersion    amaranthtide.StoreVersion
 	stateAt         time.Time
 	// rollback is the last rollback that a hub decided.
 	rollback amaranthtide.Option[amaranthtide.RolloutState]
 	// meter belongs to the rollout of the order metered.
-	metered amaranthtide.RowVersion
+	metered amaranthtide.StoreVersion
 	meter   *decision.Meter
 	// history belongs to the rollout of the order observed, whose outcomes this router has observed
 	// as a hub from observedFrom to observedAt.
-	observed     amaranthtide.RowVersion
+	observed     amaranthtide.StoreVersion
 	observedFrom time.Time
 	observedAt   time.Time
 	history      *decision.History
 	// dueSince is when a step that follows the state of version dueAfter became due; zero if
 	// none is. While one is being written, and until retryAt, no other one is.
 	dueSince time.Time
-	dueAfter amaranthtide.RowVersion
+	dueAfter amaranthtide.StoreVersion
 	writing  bool
 	retryAt  time.Time
 	// leads is set if this router has recorded the last step. It then doesn't wait for the hubs before
 	// it in the order of readers, which didn't record that step.
 	leads bool
+	// lost is set if the store has come back without the recorded state, which is to be recorded again.
+	lost bool
 	// logged is the state that was logged last.
 	logged amaranthtide.RolloutState
 }
@@ -75,28 +77,75 @@
 
 // setState applies the recorded state, or its removal, in a row of the given version. A version
 // that was rolled back stays so if the row is removed.
-func (s *service) setState(now time.Time, version amaranthtide.RowVersion, state amaranthtide.Option[amaranthtide.RolloutState]) {
-	if version <= s.stateVersion {
+func (s *service) setState(now time.Time, version amaranthtide.StoreVersion, state amaranthtide.Option[amaranthtide.RolloutState]) {
+	if !version.After(s.stateVersion) {
 		return
 	}
 	if old, ok := s.recorded.Get(); ok && old.Stage == amaranthtide.RolloutRolledBack {
 		s.rollback = s.recorded
 	}
-	s.recorded, s.stateVersion, s.recordedVersion, s.stateAt, s.leads = state, version, 0, now, false
+	s.recorded, s.stateVersion, s.recordedVersion, s.stateAt, s.leads = state, version, amaranthtide.StoreVersion{}, now, false
+	s.lost = false
 	if _, ok := state.Get(); ok {
 		s.recordedVersion = version
 	}
 	s.dueSince, s.retryAt = time.Time{}, time.Time{}
 }
 
+// lose marks the recorded state for being recorded again, in place of a row of the given version, after the
+// store has come back from an older copy.
+func (s *service) lose(version amaranthtide.StoreVersion) {
+	if _, ok := s.current(); !ok {
+		return
+	}
+	s.lost, s.recordedVersion = true, version
+	s.dueSince, s.retryAt = time.Time{}, time.Time{}
+}
+
+// continues reports whether a row of a later era has the order that is known: the operator has written it
+// again after a restore, or the copy has it.
+func (s *service) continues(version amaranthtide.StoreVersion, order amaranthtide.Option[amaranthtide.RolloutOrder]) bool {
+	old, known := s.order.Get()
+	o, ok := order.Get()
+	return known && ok && o == old && s.orderVersion.Era() < version.Era()
+}
+
+// adopt makes a rollout go on under the version that its order has in a later era. What was recorded under
+// the earlier one is recorded again.
+func (s *service) adopt() {
+	order, ok := s.order.Get()
+	if !ok {
+		return
+	}
+	move := func(state *amaranthtide.Option[amaranthtide.RolloutState]) bool {
+		v, ok := state.Get()
+		if !ok || v.To != order.To || v.Order.Era() >= s.orderVersion.Era() {
+			return false
+		}
+		if s.metered == v.Order {
+			s.metered = s.orderVersion
+		}
+		if s.observed == v.Order {
+			s.observed = s.orderVersion
+		}
+		v.Order = s.orderVersion
+		*state = amaranthtide.Some(v)
+		return true
+	}
+	if move(&s.recorded) {
+		s.lost = true
+	}
+	move(&s.rollback)
+}
+
 // setRollback applies a rollback that a hub decided and reports whether it changes the current
 // state. The recorded state of a later order replaces it, and so does a recorded success, after
 // which the old servers are stopped.
 func (s *service) setRollback(rollback amaranthtide.RolloutState) bool {
-	if old, ok := s.rollback.Get(); ok && old.Order >= rollback.Order {
+	if old, ok := s.rollback.Get(); ok && !old.Order.Before(rollback.Order) {
 		return false
 	}
-	if recorded, ok := s.recorded.Get(); ok && (recorded.Order > rollback.Order || recorded.Order == rollback.Order && (recorded.Stage.Final() || recorded.To != rollback.To)) {
+	if recorded, ok := s.recorded.Get(); ok && (recorded.Order.After(rollback.Order) || recorded.Order == rollback.Order && (recorded.Stage.Final() || recorded.To != rollback.To)) {
 		return false
 	}
 	s.rollback = amaranthtide.Some(rollback)
@@ -129,15 +178,15 @@
 
 // withdrawn reports whether the order of a running rollout no longer stands. tableVersion is the
 // version up to which the operators' table is known.
-func (s *service) withdrawn(now time.Time, state amaranthtide.RolloutState, tableVersion amaranthtide.RowVersion) bool {
+func (s *service) withdrawn(now time.Time, state amaranthtide.RolloutState, tableVersion amaranthtide.StoreVersion) bool {
 	_, present := s.order.Get()
 	switch {
 	case s.orderVersion == state.Order && present:
 		s.missingSince = time.Time{}
 		return false
-	case s.orderVersion > state.Order:
+	case s.orderVersion.After(state.Order):
 		return true
-	case tableVersion < state.Order:
+	case tableVersion.Before(state.Order):
 		return false // the order may follow
 	}
 	// The row was removed before this router started, or is just being applied.
@@ -151,7 +200,7 @@
 func (s *service) ordered() (amaranthtide.RolloutOrder, bool) {
 	order, ok := s.order.Get()
 	state, known := s.current()
-	return order, ok && (!known || state.Order < s.orderVersion)
+	return order, ok && (!known || state.Order.Before(s.orderVersion))
 }
 
 // observe adds the sums over the fleet to the history of the running rollout. It begins a new one
@@ -200,7 +249,7 @@
 	if state.Stage == amaranthtide.RolloutRolledBack {
 		log = r.opts.Logger.Warn
 	}
-	log("rollout stage changed", "service", string(s.name), "to", string(state.To), "stage", state.Stage.String(), "share", percent(state.Share), "order", uint64(state.Order),
+	log("rollout stage changed", "service", string(s.name), "to", string(state.To), "stage", state.Stage.String(), "share", percent(state.Share), "order", state.Order.String(),
 		"reason", state.Reason, "recorded", !s.unrecorded(), "deadline", state.Deadline, "outcomes", outcomesText(r.counter.Totals(s.name)))
 	if state.Stage.Final() {
 		r.counter.Forget(s.name)
