cmd/internal/soak: entries of a server keep its last start

Routers take that for an entry of the server before and ignore it, which the soak counted as requests at a server that leaves.

The start of a server is now part of it, and all its entries name it. TestEntriesKeepLastStart failed before (the entry had the start of the run).

--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -50,6 +50,8 @@
 	unpromised bool
 	// recent are the times of the requests in the last loadWindow.
 	recent []time.Time
+	// restartedAt is the time of the last start; zero is the start of the run.
+	restartedAt time.Time
 	// random chooses the outcomes of requests.
 	random *rand.Rand
 	// holding is the number of requests at the server. The lock of the soak guards it.
@@ -115,10 +117,8 @@
 }
 
 // register writes the server's entry, in the given state, to the store.
-func (s *soak) register(b *backend, state string) { s.registerSince(b, state, s.began) }
-
-// registerSince writes the entry of a server that started at the given time.
-func (s *soak) registerSince(b *backend, state string, started time.Time) {
+func (s *soak) register(b *backend, state string) {
+	started := b.startedAt()
 	entry := b.Entry(b.service, b.zone, state)
 	entry[standin.FieldAddress] = b.link.addr().String()
 	entry[standin.FieldStarted] = started.UnixMilli()
@@ -126,6 +126,24 @@
 	s.store.Put(standin.TableServers, b.name, entry)
 }
 
+// restart records that the server has started again under its identifier.
+func (b *backend) restart(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.restartedAt = now
+}
+
+// startedAt returns when the server started last. All its entries name that time: routers take one with an
+// earlier start for an entry of the server before.
+func (b *backend) startedAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.restartedAt.IsZero() {
+		return b.soak.began
+	}
+	return b.restartedAt
+}
+
 // leave records that the server begins to leave.
 func (b *backend) leave(now time.Time) {
 	b.mu.Lock()
--- a/cmd/internal/soak/server_faults.go
+++ b/cmd/internal/soak/server_faults.go
@@ -113,7 +113,8 @@
 	s.pause(ctx, random, 0, reuseTime)
 	s.mu.Lock()
 	if slices.Contains(s.backends, b) {
-		s.registerSince(b, standin.StateReady, time.Now())
+		b.restart(time.Now())
+		s.register(b, standin.StateReady)
 	}
 	s.mu.Unlock()
 	s.pause(ctx, random, 0, reuseTime)
