coordination/restore: a cold server stays cold although the copy shows it as warm

Found by reading the decision: the entry of a server that turned cold after the copy was made shows it as warm in the copy. The copy was taken, so that the server would have got full load. The known entry now holds for the time in which servers write theirs again. The case in TestDecide failed before. Also: a log line when a router has written its registration.

--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -100,13 +100,13 @@
 }
 
 // decideInstance keeps a server that the store lacks, unless it was leaving, and doesn't let an older entry
-// take a leaving server, or an earlier start of it, back into use.
+// take a leaving server, or an earlier start of it, back into use, or show a cold server as warm.
 func decideInstance(restoredAt time.Time, known amaranthtide.Instance, copied amaranthtide.DecodedRow) Verdict {
 	in, listed := copied.Instance.Get()
 	switch {
 	case !listed && known.Leaving, listed && in.Started.After(known.Started):
 		return take
-	case !listed, in.Started.Before(known.Started), known.Leaving && !in.Leaving:
+	case !listed, in.Started.Before(known.Started), known.Leaving && !in.Leaving, in.ColdUntil.Before(known.ColdUntil) && !in.Leaving:
 		return Verdict{true, restoredAt.Add(ServerGrace)}
 	default:
 		return take
--- a/coordination/restore/restore_test.go
+++ b/coordination/restore/restore_test.go
@@ -21,6 +21,10 @@
 	return amaranthtide.Some(amaranthtide.DecodedRow{Instance: amaranthtide.Some(amaranthtide.Instance{Name: "e1", Started: start.Add(started), Leaving: leaving})})
 }
 
+func cold(until time.Duration) row {
+	return amaranthtide.Some(amaranthtide.DecodedRow{Instance: amaranthtide.Some(amaranthtide.Instance{Name: "e1", Started: start, ColdUntil: start.Add(until)})})
+}
+
 func configuration(revision amaranthtide.Revision) row {
 	return amaranthtide.Some(amaranthtide.DecodedRow{Configuration: amaranthtide.Some(amaranthtide.Configuration{Revision: revision})})
 }
@@ -49,6 +53,8 @@
 		{"server that had left", none, server(0, false), restore.ServerGrace},
 		{"earlier start in the copy", server(time.Hour, false), server(0, false), restore.ServerGrace},
 		{"later start in the store", server(0, true), server(time.Hour, false), 0},
+		{"cold server that is warm in the copy", cold(time.Minute), cold(0), restore.ServerGrace},
+		{"server that is cold in the copy", cold(0), cold(time.Minute), 0},
 		{"older configuration", configuration(7), configuration(6), forever},
 		{"no configuration", configuration(7), none, forever},
 		{"newer configuration", configuration(7), configuration(8), 0},
--- a/transport/peers/registry.go
+++ b/transport/peers/registry.go
@@ -37,6 +37,7 @@
 			e.sleep(registrationCheckInterval)
 			continue
 		}
+		e.opts.Logger.Info("router registered", "era", uint64(e.registryEra()))
 		e.sleep(registrationInterval)
 	}
 }
