coordination/restore: an evacuation that ended with the outage holds for 6 s, not 15 s

Cause, from the routers' logs: an evacuation ended while the store was away. The store came back from a copy that is older than its beginning, so that nothing had to be written again, and the fleet held the evacuation for 15 s, once more with the next restore; the other zone was evacuated then. Such an evacuation can't be told from one that will be written again.

--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -26,9 +26,9 @@
 	// RouterGrace is the time in which routers write their registrations again: some seconds after the last
 	// write, and spread out.
 	RouterGrace = maxSpread + 8*time.Second
-	// OperatorGrace is the time in which operators write their orders again. An order that holds for
-	// too long costs less than one that is forgotten.
-	OperatorGrace = 15 * time.Second
+	// OperatorGrace is the time in which operators write their orders again. An evacuation that ended while the
+	// store was away looks like one that the copy lacks, and takes its zone out of service for as long.
+	OperatorGrace = 6 * time.Second
 )
 
 // Verdict tells whether the known row holds against that of the store.
