--- a/cmd/internal/soak/restore.go
+++ b/cmd/internal/soak/restore.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// accepts reports whether a router accepts a key.
+// accepts reports whether a router answers a request with the key otherwise than by rejecting the key.
 func (c *caller) accepts(ctx context.Context, r *router, key string) bool {
 	c.sent++
 	id := fmt.Sprintf("%d-last-%d", c.soak.opts.Seed, c.sent)
@@ -99,7 +99,7 @@
 	return resp.StatusCode != http.StatusUnauthorized
 }
 
-// keyState is what a router has shown of a key that was removed.
+// keyState names a removed key and a router that has rejected it.
 type keyState struct {
 	router string
 	key    string
--- a/transport/follow/restore.go
+++ b/transport/follow/restore.go
@@ -45,7 +45,8 @@
 	return changed
 }
 
-// decode returns the content of a row, absent if it is removed, malformed or not used.
+// decode returns the content of a row, absent if it is removed, malformed or not used. applyRow logs what is
+// malformed.
 func (f *Follower) decode(now time.Time, row amaranthtide.FeedRow) amaranthtide.Option[amaranthtide.DecodedRow] {
 	if row.Value == nil {
 		return amaranthtide.None[amaranthtide.DecodedRow]()
