--- a/review/third/deadly.go
+++ b/review/third/deadly.go
@@ -28,12 +28,17 @@
 
 var _ = register("deadly", runDeadly)
 
+// number returns the value of an environment variable, or a default.
+func number(name string, defaultValue int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil && n > 0 {
+		return n
+	}
+	return defaultValue
+}
+
 // runDeadly sends requests with a part that crashes servers, behind many sound parts of a long chat.
 func runDeadly(rec *record, trouble bool) (bool, error) {
-	shared := deadlyShared
-	if n, err := strconv.Atoi(os.Getenv("SHARED")); err == nil {
-		shared = n
-	}
+	shared, load := number("SHARED", deadlyShared), number("LOAD", deadlyLoad)
 	d, err := newDeployment(rec, "a", "a", "b")
 	if d != nil {
 		defer d.close()
@@ -118,7 +123,7 @@
 			time.AfterFunc(time.Until(begin.Add(deadlyFrom+time.Duration(i)*deadlyEvery)), func() { sendOne(100000+i, deadlyPart, true) })
 		}
 	}
-	ticker := time.NewTicker(time.Second / deadlyLoad)
+	ticker := time.NewTicker(time.Second / time.Duration(load))
 	defer ticker.Stop()
 	for i := 0; time.Since(begin) < deadlyCaseLasts; i++ {
 		<-ticker.C
--- a/review/third/router.go
+++ b/review/third/router.go
@@ -181,11 +181,20 @@
 			return nil
 		}
 		if time.Now().After(until) {
+			d.showLogs()
 			return fmt.Errorf("%d of %d routers are ready, %d registered", ready, len(d.routers), d.store.count("amaranthtideRouters"))
 		}
 	}
 }
 
+// showLogs writes the first lines of the routers' logs to the record.
+func (d *deployment) showLogs() {
+	for _, r := range d.routers {
+		text, err := os.ReadFile(filepath.Join(d.dir, r.name+".log"))
+		d.rec.add("%s: running %t, ready %t, log (%v): %.2000s", r.name, r.isRunning(), r.isReady(), err, text)
+	}
+}
+
 func (r *router) isReady() bool {
 	c := http.Client{Timeout: time.Second}
 	resp, err := c.Get(fmt.Sprintf("http://%s:%d/-/ready", r.ip, r.ready))
