--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,4 +5,4 @@
   echo "not built: see deploy/system.toml and review/build-3.sh"
   exit 2
 fi
-ROOT=$PWD exec target/review-third born review/14
+ROOT=$PWD exec target/review-third drill review/14
--- a/review/third/born.go
+++ b/review/third/born.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return false, err
 	}
-	d.store.put("op", "config", deskConfiguration(0))
+	d.store.put("op", "config", deskConfiguration())
 	var mu sync.Mutex
 	sentAt := make(map[string]time.Time)
 	var acknowledged time.Time
--- a/review/third/deadly.go
+++ b/review/third/deadly.go
@@ -13,6 +13,8 @@
 const (
 	deadlyServers    = 9
 	deadlyShared     = 40 // parts of a prompt before the one that differs
+	lateShared       = 3
+	lateCrash        = 400 * time.Millisecond
 	deadlyPart       = "dead0001"
 	deadlyFrom       = 4 * time.Second
 	deadlyEvery      = 1500 * time.Millisecond
@@ -26,7 +28,10 @@
 	deadlyFifthCrash = 5
 )
 
-var _ = register("deadly", runDeadly)
+var (
+	_ = register("deadly", func(rec *record, trouble bool) (bool, error) { return runDeadly(rec, trouble, deadlyShared, 0) })
+	_ = register("late", func(rec *record, trouble bool) (bool, error) { return runDeadly(rec, trouble, lateShared, lateCrash) })
+)
 
 // number returns the value of an environment variable, or a default.
 func number(name string, defaultValue int) int {
@@ -36,9 +41,11 @@
 	return defaultValue
 }
 
-// runDeadly sends requests with a part that crashes servers, behind many sound parts of a long chat.
-func runDeadly(rec *record, trouble bool) (bool, error) {
-	shared, load := number("SHARED", deadlyShared), number("LOAD", deadlyLoad)
+// runDeadly sends requests with a part that crashes servers behind a number of sound parts. Servers crash before
+// the first byte of the answer or, if crashAfter isn't 0, so long after its first event.
+func runDeadly(rec *record, trouble bool, sharedParts int, crashAfter time.Duration) (bool, error) {
+	shared, load := number("SHARED", sharedParts), number("LOAD", deadlyLoad)
+	crashAfter = time.Duration(number("LATE", int(crashAfter.Milliseconds()))) * time.Millisecond
 	d, err := newDeployment(rec, "a", "a", "b")
 	if d != nil {
 		defer d.close()
@@ -63,6 +70,11 @@
 			}
 			w.Header().Set("Content-Type", "text/event-stream")
 			time.Sleep(50 * time.Millisecond)
+			if isDeadly && crashAfter > 0 {
+				_, _ = fmt.Fprint(w, "id: 1\ndata: token 1\n\n")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(crashAfter)
+			}
 			if isDeadly && s.crash() {
 				mu.Lock()
 				crashes = append(crashes, time.Now())
--- a/review/third/names.go
+++ b/review/third/names.go
@@ -11,8 +11,6 @@
 	hdrPrefix    = "Prompt" + "-Prefix"
 	hdrTokens    = "Token" + "-Count"
 	hdrModel     = "Model"
-	hdrLastEvent = "Last-Event-Id"
-	hdrColdMS    = "Cold-Ms"
 	hdrSelf      = "Instance-Id"
 
 	settingsVariable = "AMARANTHTIDE" + "_NODE_FILE"
--- a/review/third/server.go
+++ b/review/third/server.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -20,17 +19,16 @@
 	rec               *record
 	handle            http.HandlerFunc // of requests that are for this server
 
-	mu        sync.Mutex
-	addr      string
-	listener  net.Listener
-	conns     map[net.Conn]bool
-	born      int64
-	state     string
-	coldUntil time.Time
-	seq       int
-	written   string        // the entry without seq as it was last written, with the era of the store
-	skew      time.Duration // by which the clock of the machine is ahead
-	hasLeft   bool          // writes nothing to the store any more
+	mu       sync.Mutex
+	addr     string
+	listener net.Listener
+	conns    map[net.Conn]bool
+	born     int64
+	state    string
+	seq      int
+	written  string        // the entry without seq as it was last written, with the era of the store
+	skew     time.Duration // by which the clock of the machine is ahead
+	hasLeft  bool          // writes nothing to the store any more
 }
 
 func newServer(d *deployment, id, service, zone string, slots int) *server {
@@ -103,7 +101,7 @@
 	s.mu.Lock()
 	entry := map[string]any{
 		"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": s.slots, "state": s.state,
-		fieldColdMS: max(0, time.Until(s.coldUntil).Milliseconds()), "born": s.born,
+		fieldColdMS: 0, "born": s.born,
 	}
 	content := fmt.Sprint(entry, s.store.currentEra())
 	if s.hasLeft || content == s.written {
@@ -122,15 +120,6 @@
 	s.mu.Unlock()
 }
 
-// turnCold makes the server cold, and writes that into its entry.
-func (s *server) turnCold(d time.Duration) {
-	s.mu.Lock()
-	s.coldUntil = time.Now().Add(d)
-	s.mu.Unlock()
-	s.rec.add("server %s is cold for %v", s.id, d)
-	s.beat()
-}
-
 // setState changes the state in the entry.
 func (s *server) setState(state string) {
 	s.mu.Lock()
@@ -139,19 +128,9 @@
 	s.beat()
 }
 
-func (s *server) isCold() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Now().Before(s.coldUntil)
-}
-
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		s.mu.Lock()
-		cold := max(0, time.Until(s.coldUntil).Milliseconds())
-		s.mu.Unlock()
 		w.Header().Set(hdrSelf, s.id)
-		w.Header().Set(hdrColdMS, strconv.FormatInt(cold, 10))
 		return
 	}
 	id := r.Header.Get(hdrRequestID)
@@ -165,22 +144,3 @@
 	w.Header().Set(hdrStamp, fmt.Sprintf("stamp-%s-%s", s.id, id))
 	s.handle(w, r)
 }
-
-// window counts arrivals in any one second.
-type window struct {
-	times []time.Time
-	most  int
-	at    time.Time
-}
-
-// add counts an arrival and returns the number in the second up to it.
-func (w *window) add(now time.Time) int {
-	w.times = append(w.times, now)
-	for now.Sub(w.times[0]) >= time.Second {
-		w.times = w.times[1:]
-	}
-	if n := len(w.times); n > w.most {
-		w.most, w.at = n, now
-	}
-	return len(w.times)
-}
