transport/follow: the age of each table, and a log line when an answer doesn't confirm one

Confirmations (coordination/reading) records, for each table, as of when the copy is known to be complete: by its own answers, or by answers for another table, which name the newest version of the store. Nothing decides by it yet.

New: amaranthtide_feed_table_age, "answers of the feed don't confirm a table", and "check of a table failed", an error that was dropped without a line.

--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -69,19 +69,23 @@
 	}
 	failed.calls++
 	f.failures[table] = failed
+	f.own.Failed(table)
 	f.updateListReadability(now)
 	return f.opts.Schedule.RetryWait(position, failed.calls)
 }
 
-// recordSuccess records a call that confirmed the table as of the given time.
-func (f *Follower) recordSuccess(now time.Time, table amaranthtide.FeedTable, confirmedAt time.Time) {
+// recordSuccess records a call that confirmed the table as of the given time, and named the newest
+// version of the store.
+func (f *Follower) recordSuccess(now time.Time, table amaranthtide.FeedTable, confirmedAt time.Time, newest amaranthtide.StoreVersion) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.own.Answered(table, confirmedAt)
 	if failed, ok := f.failures[table]; ok {
 		delete(f.failures, table)
 		f.opts.Logger.Info("feed returned", "table", table, "away", now.Sub(failed.since), "calls", failed.calls)
 	}
 	if table == f.opts.PolledTable {
+		f.confirmOthers(now, confirmedAt, newest)
 		f.ownView = confirmedAt
 		f.updateListReadability(now)
 		close(f.readable)
@@ -89,6 +93,42 @@
 	}
 }
 
+// confirmOthers records what an answer for the polled table, which names the newest version of the
+// store, says of the other tables. The caller holds mu.
+func (f *Follower) confirmOthers(now, at time.Time, newest amaranthtide.StoreVersion) {
+	var unconfirmed amaranthtide.FeedTable
+	for _, table := range f.opts.Tables {
+		version, known := f.opts.Rows.Version(table).Get()
+		if table != f.opts.PolledTable && known && !f.own.Named(table, at, version, newest) {
+			unconfirmed = table
+		}
+	}
+	if unconfirmed == f.unconfirmedTable {
+		return
+	}
+	f.unconfirmedTable = unconfirmed
+	if unconfirmed == "" {
+		f.opts.Logger.Info("answers of the feed confirm all tables", "newest", newest.String())
+		return
+	}
+	f.opts.Logger.Warn("answers of the feed don't confirm a table", "table", unconfirmed, "newest", newest.String(),
+		"version", f.opts.Rows.Version(unconfirmed).Or(amaranthtide.StoreVersion{}).String(), "since", now.Sub(f.own.At(unconfirmed)))
+}
+
+// TableAges returns, for each table, the time since this router's own calls last confirmed its copy; tables
+// that they never have are missing.
+func (f *Follower) TableAges(now time.Time) map[amaranthtide.FeedTable]time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ages := make(map[amaranthtide.FeedTable]time.Duration)
+	for _, table := range f.opts.Tables {
+		if age, ok := viewAge(now, f.own.At(table)).Get(); ok {
+			ages[table] = age
+		}
+	}
+	return ages
+}
+
 func (f *Follower) hasFailed(table amaranthtide.FeedTable) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/transport/follow/check.go
+++ b/transport/follow/check.go
@@ -56,12 +56,14 @@
 		f.checking.Remove(table)
 	}()
 	after := f.opts.Rows.Version(table)
+	started := time.Now()
 	page, err := f.opts.Feed.Next(f.ctx, table, after, 0)
 	f.opts.Observe(table, err)
+	now := time.Now()
+	f.recordCheck(table, earliest(now, started.Add(maxAnswerDelay)), err)
 	if err != nil {
 		return
 	}
-	now := time.Now()
 	changed := f.Apply(now, table, page)
 	if len(changed) == 0 {
 		return
@@ -73,6 +75,19 @@
 	}
 }
 
+// recordCheck records the end of a check, whose answer confirms the table as of the given time.
+func (f *Follower) recordCheck(table amaranthtide.FeedTable, confirmedAt time.Time, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.own.Answered(table, confirmedAt)
+	case f.ctx.Err() == nil:
+		f.own.Failed(table)
+		f.opts.Logger.Warn("check of a table failed", "table", table, "error", err)
+	}
+}
+
 // cancelCall cancels a table's call in flight.
 func (f *Follower) cancelCall(table amaranthtide.FeedTable) {
 	f.mu.Lock()
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -152,6 +152,10 @@
 	ownView    time.Time
 	peerView   time.Time
 	peerReader amaranthtide.VMName
+	// own records which copies this router's own calls have confirmed. unconfirmedTable is one that the
+	// last answer for the polled table didn't confirm, empty if there was none.
+	own              *reading.Confirmations
+	unconfirmedTable amaranthtide.FeedTable
 	// failures holds the failed calls of each table since its last successful one.
 	failures map[amaranthtide.FeedTable]failure
 	// cancelCalls holds the function that cancels a table's call in flight.
@@ -217,6 +221,7 @@
 		routers:     make(map[rowKey]amaranthtide.VMName),
 		orders:      make(map[rowKey]amaranthtide.ServiceName),
 		rollouts:    make(map[rowKey]amaranthtide.ServiceName),
+		own:         reading.NewConfirmations(opts.Schedule),
 		failures:    make(map[amaranthtide.FeedTable]failure),
 		cancelCalls: make(map[amaranthtide.FeedTable]context.CancelFunc),
 		lags:        make(map[amaranthtide.FeedTable]lag),
@@ -325,7 +330,7 @@
 		f.sleep(meanWait/2 + rand.N(meanWait))
 		return
 	}
-	f.recordSuccess(now, table, earliest(now, started.Add(wait+maxAnswerDelay)))
+	f.recordSuccess(now, table, earliest(now, started.Add(wait+maxAnswerDelay)), page.Version)
 	changed := f.Apply(now, table, page)
 	if (table == f.opts.PolledTable || len(changed) > 0) && f.mustRelay(now) {
 		f.opts.Relay(table, after)
--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -24,6 +24,7 @@
 	f.reads = reads
 	f.opts.Logger.Info("reading of the feed changed", "reads", reads, "zonePosition", position.Zone, "position", position.Router, "peerView", f.peerViewText(now))
 	if reads {
+		f.own.Reset()
 		return true
 	}
 	// Earlier failures no longer tell whether the feed can be read, and earlier polls don't tell
--- a/transport/gateway/gauges.go
+++ b/transport/gateway/gauges.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		return err
 	}
+	err = g.meter.LabeledGauge("amaranthtide.feed.table.age", "Milliseconds since this router's own calls to the platform's feed last confirmed its copy of the table.", "table", g.tableAges)
+	if err != nil {
+		return err
+	}
 	if g.opts.LoadShedding {
 		if err := g.registerAdmission(); err != nil {
 			return err
@@ -110,6 +114,14 @@
 	return 0
 }
 
+func (g *Gateway) tableAges() map[string]float64 {
+	ages := make(map[string]float64)
+	for table, age := range g.follower.TableAges(time.Now()) {
+		ages[string(table)] = float64(age.Milliseconds())
+	}
+	return ages
+}
+
 func (g *Gateway) retriesLeft() map[string]float64 {
 	left := make(map[string]float64)
 	for service, n := range g.dispatcher.RetriesLeft(time.Now()) {
