cmd/internal/soak: the store fails for one table, and checks of added keys and routes

The soak had no fault in which the store fails for one table, or for one router's calls of one kind, and checked neither that an added key or route is served within the bound nor that a router which knew a key goes on knowing it.

New: fault storeRefusesTable over an address of the store for each router (platform/standin, Endpoint), a route that comes and goes with the rotating key, and the three checks.

--- a/cmd/internal/soak/backend.go
+++ b/cmd/internal/soak/backend.go
@@ -295,10 +295,10 @@
 	b.mu.Lock()
 	leaving, out := b.leftAt, b.outAt
 	b.mu.Unlock()
-	if !leaving.IsZero() && now.Sub(leaving) > drainBound && b.soak.boundApplies(now, via, leaving) {
+	if !leaving.IsZero() && now.Sub(leaving) > drainBound && b.soak.storeCalm(leaving, now) && b.soak.boundApplies(now, via, leaving) {
 		b.soak.addViolation(now, "drain", "request %s reached %s through %s %s after it began to leave", id, b.name, via, now.Sub(leaving))
 	}
-	if !out.IsZero() && now.Sub(out) > zoneOutBound && b.soak.boundApplies(now, via, out) {
+	if !out.IsZero() && now.Sub(out) > zoneOutBound+b.soak.changeBoundAt(now, out)-changeBound && b.soak.boundApplies(now, via, out) {
 		b.soak.addViolation(now, "zoneOut", "request %s reached %s through %s %s after its zone was taken out of service", id, b.name, via, now.Sub(out))
 	}
 }
--- a/cmd/internal/soak/caller.go
+++ b/cmd/internal/soak/caller.go
@@ -55,7 +55,7 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		c.call(ctx, c.soak.routers[c.random.IntN(len(c.soak.routers))], paths[c.random.IntN(len(paths))])
+		c.call(ctx, c.soak.routers[c.random.IntN(len(c.soak.routers))], drawPath(c.random))
 		time.Sleep(callInterval)
 	}
 }
@@ -64,7 +64,8 @@
 func (c *caller) call(ctx context.Context, r *router, path string) bool {
 	c.sent++
 	id := fmt.Sprintf("%d-%d-%d", c.soak.opts.Seed, c.number, c.sent)
-	key, keyRemoved := c.soak.drawKey(c.random)
+	key, drawn := c.soak.drawKey(c.random)
+	current := c.soak.currentRotation()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reused := false
@@ -90,10 +91,11 @@
 		return false
 	}
 	c.soak.countAnswer(fmt.Sprint(resp.StatusCode))
-	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusUnauthorized {
-		c.soak.observeKey(time.Now(), sent, r, id, key, resp.StatusCode == http.StatusOK)
+	if drawn.key != "" && (resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusUnauthorized) {
+		c.soak.observeKey(time.Now(), sent, r, id, drawn, resp.StatusCode == http.StatusOK)
 	}
-	c.check(sent, id, path, r, keyRemoved, resp, string(text))
+	c.check(sent, id, path, r, resp, string(text))
+	c.soak.checkChange(time.Now(), sentRequest{id, path, key, r, sent, drawn, current}, resp.StatusCode)
 	return resp.StatusCode == http.StatusOK
 }
 
@@ -132,7 +134,7 @@
 }
 
 // check verifies a complete response.
-func (c *caller) check(sent time.Time, id, path string, r *router, keyRemoved time.Time, resp *http.Response, body string) {
+func (c *caller) check(sent time.Time, id, path string, r *router, resp *http.Response, body string) {
 	now := time.Now()
 	if err := statusline.Check(resp); err != nil {
 		c.soak.addViolation(now, "answer", "request %s at %s: %v", id, r.name, err)
@@ -140,9 +142,6 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		c.checkBody(now, sent, id, path, resp, body)
-		if !keyRemoved.IsZero() && sent.Sub(keyRemoved) > changeBound && c.soak.boundApplies(sent, r.name, keyRemoved) {
-			c.soak.addViolation(now, "change", "request %s was served by %s with a key that was removed %s earlier", id, r.name, sent.Sub(keyRemoved))
-		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		if mayRunOnce(path) {
 			c.soak.recordRefusal(id)
@@ -157,12 +156,6 @@
 		if mayRunOnce(path) {
 			c.soak.recordRefusal(id)
 		}
-	case http.StatusNotFound:
-		c.soak.addViolation(now, "denied", "request %s got 404 from %s for a route that every configuration has", id, r.name)
-	case http.StatusUnauthorized:
-		if keyRemoved.IsZero() {
-			c.soak.addViolation(now, "denied", "request %s got 401 from %s with a key that every configuration has", id, r.name)
-		}
 	}
 }
 
--- a/cmd/internal/soak/checks.go
+++ b/cmd/internal/soak/checks.go
@@ -10,6 +10,8 @@
 // boundApplies reports whether the time limit for a change that the store accepted at
 // from applies to a router at now. It applies if the store had no fault shortly before
 // from, and neither the store nor the router had one shortly before now.
+//
+// Faults of one table stretch the limits, see changeBoundAt.
 func (s *soak) boundApplies(now time.Time, name string, from time.Time) bool {
 	if !s.storeFaults.quiet(from, quietTime) || !s.storeFaults.quiet(now, quietTime) {
 		return false
@@ -40,6 +42,16 @@
 	return strings.HasPrefix(path, "/pay/") || strings.HasPrefix(path, "/chat/") || isLong(path)
 }
 
+// storeCalm reports whether the store had no fault of any table shortly before the given times.
+func (s *soak) storeCalm(times ...time.Time) bool {
+	for _, at := range times {
+		if !s.tableFaults.quiet(at, quietTime) || !s.storeFaults.quiet(at, quietTime) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *soak) recordRefusal(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -61,6 +61,7 @@
 		s.store.SetStatus(0)
 		end(time.Now())
 	}},
+	{"storeRefusesTable", func(s *soak, ctx context.Context, random *rand.Rand) { s.refuseTable(ctx, random) }},
 	{"restoreStore", func(s *soak, ctx context.Context, random *rand.Rand) { s.restoreStore(ctx, random) }},
 	{"storeForgets", func(s *soak, _ context.Context, _ *rand.Rand) { s.store.DropHistory() }},
 	{"storeLink", func(s *soak, ctx context.Context, random *rand.Rand) {
--- a/cmd/internal/soak/loads.go
+++ b/cmd/internal/soak/loads.go
@@ -74,7 +74,7 @@
 // doesn't in a run with rollouts, where servers of a new version get few requests and lower the mean.
 func (b *backend) hold(now time.Time, r *http.Request) (release func()) {
 	s, via := b.soak, r.Header.Get(headerRouter)
-	calm := b.service == serviceEngine && !s.opts.Rollouts && s.boundApplies(now, via, now) && s.serversQuiet(now)
+	calm := b.service == serviceEngine && !s.opts.Rollouts && s.storeCalm(now) && s.boundApplies(now, via, now) && s.serversQuiet(now)
 	s.mu.Lock()
 	sum, engines, holding := 0, 0, b.holding
 	for _, other := range s.backends {
--- a/cmd/internal/soak/long_streams.go
+++ b/cmd/internal/soak/long_streams.go
@@ -148,7 +148,8 @@
 		return false
 	}
 	c.soak.countAnswer(fmt.Sprint(resp.StatusCode))
-	c.check(sent, id, path, r, time.Time{}, resp, string(text))
+	c.check(sent, id, path, r, resp, string(text))
+	c.soak.checkChange(time.Now(), sentRequest{id: id, path: path, key: permanentKey, router: r, at: sent}, resp.StatusCode)
 	return resp.StatusCode == http.StatusOK && !resp.Close
 }
 
--- a/cmd/internal/soak/restore.go
+++ b/cmd/internal/soak/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -59,75 +58,3 @@
 		s.store.Rewrite(name)
 	}
 }
-
-// checkLastChange checks after the last fault that all routers apply a new configuration. A router that takes
-// it for an older one, because the store has given out its version before, never does.
-func (s *soak) checkLastChange(ctx context.Context) {
-	s.mu.Lock()
-	s.version++
-	key := fmt.Sprintf("key-last-%d", s.version)
-	s.rotatingKey, s.rotatingKeyRemoved = key, time.Time{}
-	s.store.Put(standin.TableOperator, standin.KeyConfiguration, configuration(s.version, permanentKey, key))
-	s.mu.Unlock()
-	changed := time.Now()
-	c := s.newCaller(callerCount)
-	defer c.client.CloseIdleConnections()
-	for _, r := range s.routers {
-		for !c.accepts(ctx, r, key) {
-			if time.Since(changed) > recoveryTimeout || ctx.Err() != nil {
-				s.addViolation(time.Now(), "change", "%s has not applied the last configuration within %s", r.name, recoveryTimeout)
-				break
-			}
-			time.Sleep(callInterval)
-		}
-	}
-}
-
-// accepts reports whether a router answers a request with the key otherwise than by rejecting the key.
-func (c *caller) accepts(ctx context.Context, r *router, key string) bool {
-	c.sent++
-	id := fmt.Sprintf("%d-last-%d", c.soak.opts.Seed, c.sent)
-	req, err := c.newRequest(ctx, r, "/list/1", id, key, requestTimeout)
-	if err != nil {
-		return false
-	}
-	resp, err := c.client.Transport.RoundTrip(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode != http.StatusUnauthorized
-}
-
-// keyState names a removed key and a router that has rejected it.
-type keyState struct {
-	router string
-	key    string
-}
-
-// observeKey checks that a router that has rejected a removed key doesn't accept it later. The
-// configuration never goes back, whatever the store holds, unless all routers that knew it are gone. A router
-// that starts while the store is away may not reach the others.
-func (s *soak) observeKey(now, sent time.Time, r *router, id, key string, accepted bool) {
-	r.mu.Lock()
-	starts := r.starts
-	r.mu.Unlock()
-	s.mu.Lock()
-	state := keyState{r.name, key}
-	rejectedBy, rejected := s.rejectedKeys[state]
-	// A router that rejects a key before may not know it yet.
-	isRemoved := key == s.rotatingKey && !s.rotatingKeyRemoved.IsZero() && sent.Sub(s.rotatingKeyRemoved) > changeBound
-	if !accepted && isRemoved {
-		s.rejectedKeys[state] = keyRejection{starts, now}
-	}
-	s.mu.Unlock()
-	if accepted && rejected && rejectedBy.starts == starts && sent.After(rejectedBy.at) {
-		s.addViolation(now, "change", "request %s was served by %s with the key %s, which it had rejected %s earlier", id, r.name, key, sent.Sub(rejectedBy.at))
-	}
-}
-
-// keyRejection is the first time at which a process of a router, its starts-th one, rejected a key.
-type keyRejection struct {
-	starts int
-	at     time.Time
-}
--- a/cmd/internal/soak/rollouts.go
+++ b/cmd/internal/soak/rollouts.go
@@ -204,7 +204,7 @@
 		return
 	}
 	via, sent, bound := req.Header.Get(headerRouter), time.UnixMicro(micros), rollbackBound
-	if !b.soak.storeFaults.quiet(from.Add(rollbackBound), rollbackBound) {
+	if !b.soak.storeFaults.quiet(from.Add(rollbackBound), rollbackBound) || !b.soak.tableFaults.quiet(from.Add(rollbackBound), rollbackBound) {
 		bound += storeStretch
 	}
 	if sent.Sub(from) > bound && b.soak.routerConnected(now, via) {
--- a/cmd/internal/soak/router.go
+++ b/cmd/internal/soak/router.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"amaranthtide/platform/standin"
 )
 
 // grace is the shutdown grace of routers, after which they are killed.
@@ -23,6 +25,8 @@
 	callers    netip.AddrPort
 	ready      netip.AddrPort
 	listen     netip.AddrPort
+	// store is the router's own address of the store, which storeLink leads to.
+	store      *standin.Endpoint
 	storeLink  *link
 	routerLink *link
 
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -25,6 +25,9 @@
 	drainBound   = 2500 * time.Millisecond
 	zoneOutBound = 5500 * time.Millisecond
 	changeBound  = 2500 * time.Millisecond
+	// maxStretch is added to the time limits of changes and of zones while the store serves only some
+	// tables or routers.
+	maxStretch = 5 * time.Second
 	// quietTime is the time without faults of the router and the store after which time
 	// limits apply.
 	quietTime = 3 * time.Second
@@ -84,7 +87,9 @@
 	store   *standin.Store
 	routers []*router
 	// storeFaults has the faults of the store that affect all routers.
-	storeFaults    faultIntervals
+	storeFaults faultIntervals
+	// tableFaults has the faults of the store that affect one table, of one router or of all.
+	tableFaults    faultIntervals
 	routersPerZone int
 	// restoring is held while the store is restored.
 	restoring sync.Mutex
@@ -94,12 +99,10 @@
 	backends    []*backend
 	retired     []*backend
 	version     int
-	// rotatingKey is the key that only every other version of the configuration has;
-	// rotatingKeyRemoved is the time at which it was removed, zero while it is in force.
-	rotatingKey        string
-	rotatingKeyRemoved time.Time
-	// rejectedKeys holds the removed keys that routers have rejected.
-	rejectedKeys map[keyState]keyRejection
+	// rotating is what only every other version of the configuration has.
+	rotating rotation
+	// observedKeys holds how routers have answered to the rotating keys.
+	observedKeys map[keyState]keyAnswer
 	zonesOut     map[string]time.Time
 	runs         map[string]int
 	refusals     map[string]bool
@@ -156,7 +159,7 @@
 	return &soak{
 		opts: opts, began: time.Now(), store: standin.NewStore(), routersPerZone: routersPerZone, zonesOut: make(map[string]time.Time),
 		runs: make(map[string]int), refusals: make(map[string]bool), longRuns: make(map[string]longRun), requestCrashes: make(map[string][]time.Time), answers: make(map[string]int),
-		rollouts: make(map[string]*rollout), rejectedKeys: make(map[keyState]keyRejection),
+		rollouts: make(map[string]*rollout), observedKeys: make(map[keyState]keyAnswer),
 	}
 }
 
@@ -183,18 +186,21 @@
 			if err != nil {
 				return err
 			}
-			storeLink, err := newLink(s.store.Addr())
+			endpoint := s.store.NewEndpoint()
+			storeLink, err := newLink(endpoint.Addr())
 			if err != nil {
+				endpoint.Close()
 				return err
 			}
 			routerLink, err := newLink(ports[2])
 			if err != nil {
 				storeLink.close()
+				endpoint.Close()
 				return err
 			}
 			r := &router{
 				name: fmt.Sprintf("vm-%s-%d", zone, i), zone: zone, command: s.opts.Router, dir: s.opts.Dir,
-				callers: ports[0], ready: ports[1], listen: ports[2], storeLink: storeLink, routerLink: routerLink,
+				callers: ports[0], ready: ports[1], listen: ports[2], store: endpoint, storeLink: storeLink, routerLink: routerLink,
 			}
 			seeds = append(seeds, routerLink.addr().String())
 			if err := r.writeSettings(ports[3], strings.Join(seeds[:min(3, len(seeds))], ","), limits); err != nil {
@@ -297,6 +303,7 @@
 	for _, r := range s.routers {
 		r.storeLink.close()
 		r.routerLink.close()
+		r.store.Close()
 	}
 	for _, b := range slices.Concat(s.backends, s.retired) {
 		b.close()
@@ -309,50 +316,6 @@
 	return s.backends[random.IntN(len(s.backends))]
 }
 
-// updateConfiguration writes a new version of the configuration to the store. Every
-// other version has a rotating key.
-func (s *soak) updateConfiguration() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	keys := []string{permanentKey}
-	if s.version%2 == 1 {
-		s.rotatingKey, s.rotatingKeyRemoved = fmt.Sprintf("key-%d", s.version), time.Time{}
-		keys = append(keys, s.rotatingKey)
-	}
-	s.store.Put(standin.TableOperator, standin.KeyConfiguration, configuration(s.version, keys...))
-	if s.version%2 == 0 {
-		s.rotatingKeyRemoved = time.Now()
-	}
-}
-
-// configuration returns the configuration of the stand-ins with a route for long streams.
-func configuration(version int, keys ...string) map[string]any {
-	config := standin.Config(version, keys...)
-	if limits, ok := config["limits"].(map[string]any); ok {
-		limits["max_body_bytes"] = maxLongBody
-	}
-	if routes, ok := config["routes"].([]any); ok {
-		config["routes"] = append(routes, longRoute())
-	}
-	return config
-}
-
-// drawKey returns a random key and the time at which it was removed. That time is zero
-// if the key must be accepted.
-func (s *soak) drawKey(random *rand.Rand) (string, time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if random.IntN(3) > 0 {
-		return permanentKey, time.Time{}
-	}
-	if s.rotatingKeyRemoved.IsZero() {
-		// A router may not know the key yet, so 401 is allowed as for a removed key.
-		return s.rotatingKey, time.Now()
-	}
-	return s.rotatingKey, s.rotatingKeyRemoved
-}
-
 // takeZoneOut takes a zone out of service unless a zone is out already. It reports
 // whether it did.
 func (s *soak) takeZoneOut(zone string) bool {
