transport/follow: an answer confirms a table only if it is of that table's version

Cause: the view of the feed had one age for all tables, and each answer for the list of servers made it young. Such an answer says nothing of the operators' table while the calls for that one fail or hang, so no other router took over; the check that reads it apart dropped its error.

Change: the view is as old as its oldest table (reading.Confirmations). An answer for one table confirms another only if it names no newer version than the copy's, or if the copy is of the same era, was read since this router began to read, its calls don't fail, and it has been behind for at most 1.5 polls. A router that takes over reads the other tables at once and relays its view when the last one is confirmed; one that isn't a reader of its zone relays nothing unless it can read all tables. A router that starts takes a stale peer's rows of the table that it can't read itself.

--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -51,6 +51,15 @@
 	checkSeed(t, Options{Seed: 1, Duration: 10 * time.Second, Faults: []string{"crashingRequest"}})
 }
 
+// Guards against a change that isn't in force in time while the store refuses the calls for one table, of the
+// router that reads for the fleet above all. On seed 5 all routers served a removed key for 7.5 s.
+func TestRefusedTables(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	checkSeed(t, Options{Seed: 5, Duration: 20 * time.Second, Faults: []string{"storeRefusesTable", "changeConfiguration", "changeConfiguration"}})
+}
+
 // Guards against a bad version that gets more requests than allowed, or any long after its rollback,
 // when routers and the store fail.
 func TestRollouts(t *testing.T) {
--- a/coordination/reading/confirmations.go
+++ b/coordination/reading/confirmations.go
@@ -17,6 +17,7 @@
 	// is relied on.
 	patience time.Duration
 	tables   map[amaranthtide.FeedTable]confirmation
+	lags     Lags
 }
 
 // confirmation is what is known of the copy of one table.
@@ -26,10 +27,6 @@
 	// answered is set once a call for the table was answered since the last Reset.
 	answered bool
 	failing  bool
-	// behindSince is the time of the first answer that named a newer version than behindAt, which
-	// is that of the copy; zero if none has.
-	behindSince time.Time
-	behindAt    amaranthtide.StoreVersion
 }
 
 // confirm records that the copy was complete as of the given time.
@@ -41,7 +38,7 @@
 
 // NewConfirmations returns Confirmations without any.
 func NewConfirmations(s Schedule) *Confirmations {
-	return &Confirmations{patience: s.Poll + s.Poll/2, tables: make(map[amaranthtide.FeedTable]confirmation)}
+	return &Confirmations{patience: s.Patience(), tables: make(map[amaranthtide.FeedTable]confirmation)}
 }
 
 // Reset forgets how the calls for the tables ended. A router that starts to read the feed has no
@@ -50,6 +47,7 @@
 	for table, t := range c.tables {
 		c.tables[table] = confirmation{at: t.at}
 	}
+	c.lags.Clear()
 }
 
 // Answered records that an answer for the table has confirmed the copy as of the given time.
@@ -57,6 +55,7 @@
 	t := confirmation{at: c.tables[table].at, answered: true}
 	t.confirm(at)
 	c.tables[table] = t
+	c.lags.Forget(table)
 }
 
 // Failed records that a call for the table has failed. Until the next answer for it, only an answer
@@ -72,15 +71,8 @@
 func (c *Confirmations) Named(table amaranthtide.FeedTable, at time.Time, copied, newest amaranthtide.StoreVersion) bool {
 	t := c.tables[table]
 	defer func() { c.tables[table] = t }()
-	if !copied.Before(newest) {
-		t.behindSince = time.Time{}
-		t.confirm(at)
-		return true
-	}
-	if t.behindSince.IsZero() || t.behindAt != copied {
-		t.behindSince, t.behindAt = at, copied
-	}
-	if !t.answered || t.failing || copied.Era() < newest.Era() || at.Sub(t.behindSince) > c.patience {
+	age, behind := c.lags.Behind(at, table, copied, newest)
+	if behind && (!t.answered || t.failing || copied.Era() < newest.Era() || age > c.patience) {
 		return false
 	}
 	t.confirm(at)
--- a/coordination/reading/schedule.go
+++ b/coordination/reading/schedule.go
@@ -100,13 +100,23 @@
 
 // MustRelay reports whether a router that has read the feed relays the result. A router
 // that is not a reader of its zone does so only in place of readers that have stopped:
-// routers that start together would otherwise all send to each other. peerViewAge is the
-// age of the view that other routers have confirmed to it, absent if none has.
-func (s Schedule) MustRelay(p Position, peerViewAge amaranthtide.Option[time.Duration]) bool {
+// routers that start together would otherwise all send to each other. So would those of a
+// fleet that can read only some of the tables: such a router relays nothing. peerViewAge is
+// the age of the view that other routers have confirmed to it, absent if none has, and
+// ownViewAge that of the view that its own calls have confirmed.
+func (s Schedule) MustRelay(p Position, peerViewAge, ownViewAge amaranthtide.Option[time.Duration]) bool {
+	if p.Router != NotReader {
+		return true
+	}
 	age, ok := peerViewAge.Get()
-	return p.Router != NotReader || ok && s.Stale(age)
+	own, confirmed := ownViewAge.Get()
+	return ok && s.Stale(age) && confirmed && !s.Stale(own)
 }
 
+// Patience returns how long a router's copy of a table may stay behind a version that is known to be newer
+// until it no longer counts as current. The change is in transfer, or read by the second poll.
+func (s Schedule) Patience() time.Duration { return s.Poll + s.Poll/2 }
+
 // MaxDelay returns the upper bound of the random delay for MustRead.
 func (s Schedule) MaxDelay(p Position) time.Duration {
 	if p.Router != NotReader {
--- a/coordination/reading/schedule_test.go
+++ b/coordination/reading/schedule_test.go
@@ -54,20 +54,56 @@
 // the start.
 type simulated struct {
 	zone, router int
-	// frozenUntil and silentUntil are the ends of a freeze, and of a time in which the store
-	// doesn't answer this router.
-	frozenUntil, silentUntil time.Duration
-	own, peer                time.Duration
-	callEnds                 time.Duration
-	reads                    bool
-	readableSince            time.Duration
+	// frozenUntil, silentUntil and refusedUntil are the ends of a freeze, of a time in which the
+	// store doesn't answer this router, and of one in which it refuses its calls for one table.
+	frozenUntil, silentUntil, refusedUntil time.Duration
+	own, peer                              time.Duration
+	callEnds                               time.Duration
+	reads                                  bool
+	readableSince                          time.Duration
+	confirmed                              *reading.Confirmations
+	// copied is the version of the copy of the operators' table, as of checkedAt.
+	copied    uint64
+	checkedAt time.Duration
+	// complete is the time as of which the copy has all changes, whatever the view says: a call that
+	// isn't refused waits for them.
+	complete time.Duration
+}
+
+var simulationStart = time.Date(2026, 12, 8, 8, 0, 0, 0, time.UTC)
+
+// poll is an answer for the list at the given time, by which a router decides whether to read the operators'
+// table too. The store writes to other tables all the time.
+func (r *simulated) poll(s reading.Schedule, now time.Duration) {
+	at, newest := simulationStart.Add(now), uint64(now)
+	r.confirmed.Answered(list, at)
+	if !r.confirmed.HasAnswer(operator) || now-r.checkedAt >= 2*s.Poll {
+		if now < r.refusedUntil {
+			r.confirmed.Failed(operator)
+		} else {
+			r.copied, r.checkedAt = newest, now
+			r.confirmed.Answered(operator, at)
+		}
+	}
+	if now >= r.refusedUntil {
+		r.complete = now
+	}
+	r.confirmed.Named(operator, at, version(0, r.copied), version(0, newest))
+	if view := r.confirmed.At(list, operator); !view.IsZero() {
+		r.own = view.Sub(simulationStart)
+	}
+}
+
+// learn takes over what another router knows.
+func (r *simulated) learn(from *simulated) {
+	r.peer, r.complete = max(r.peer, from.view()), max(r.complete, from.complete)
 }
 
 func (r *simulated) view() time.Duration { return max(r.own, r.peer) }
 
 // Guards against a router whose view is older than the bound of a change although a router
-// that it reaches can read the feed: over freezes and silences of the store at any routers
-// and moments, and a cut of one zone from the others.
+// that it reaches can read the feed: over freezes, silences of the store and refusals of one
+// table at any routers and moments, and a cut of one zone from the others.
 func TestViewsStayWithinBound(t *testing.T) {
 	const (
 		step         = 20 * time.Millisecond
@@ -83,21 +119,21 @@
 		var fleet []*simulated
 		for z := range zones {
 			for i := range perZone {
-				fleet = append(fleet, &simulated{zone: z, router: i})
+				fleet = append(fleet, &simulated{zone: z, router: i, confirmed: reading.NewConfirmations(s)})
 			}
 		}
 		cutZone, cutFrom := rapid.IntRange(0, zones).Draw(t, "cut"), time.Duration(rapid.IntRange(1000, 4000).Draw(t, "cutFrom"))*time.Millisecond
 		type fault struct {
 			at     time.Duration
 			router int
-			freeze bool
+			kind   int
 			length time.Duration
 		}
 		var faults []fault
 		for range rapid.IntRange(0, 5).Draw(t, "faults") {
 			faults = append(faults, fault{
 				time.Duration(rapid.IntRange(500, 5000).Draw(t, "at")) * time.Millisecond, rapid.IntRange(0, len(fleet)-1).Draw(t, "router"),
-				rapid.Bool().Draw(t, "freeze"), time.Duration(rapid.IntRange(500, 5000).Draw(t, "length")) * time.Millisecond,
+				rapid.IntRange(0, 2).Draw(t, "kind"), time.Duration(rapid.IntRange(500, 5000).Draw(t, "length")) * time.Millisecond,
 			})
 		}
 		cut := func(now time.Duration, a, b int) bool {
@@ -106,10 +142,14 @@
 		for now := step; now < faultyLength; now += step {
 			for _, f := range faults {
 				switch r := fleet[f.router]; {
-				case now-step < f.at && f.at <= now && f.freeze:
+				case f.at <= now-step || f.at > now:
+				case f.kind == 0:
 					r.frozenUntil = max(r.frozenUntil, f.at+f.length)
-				case now-step < f.at && f.at <= now:
+				case f.kind == 1:
 					r.silentUntil = max(r.silentUntil, f.at+f.length)
+				default:
+					r.refusedUntil = max(r.refusedUntil, f.at+f.length)
+					r.confirmed.Failed(operator) // ends the call that waits
 				}
 			}
 			for i, r := range fleet {
@@ -117,7 +157,7 @@
 					r.readableSince = -1
 					continue
 				}
-				if now < r.silentUntil {
+				if now < max(r.silentUntil, r.refusedUntil) {
 					r.readableSince = -1
 				} else if r.readableSince < 0 {
 					r.readableSince = now
@@ -127,20 +167,25 @@
 					position.Router = reading.NotReader
 				}
 				if (now+time.Duration(i)*step)%check == 0 {
-					r.reads = s.MustRead(position, now-r.peer, s.MaxDelay(position)/2)
+					reads := s.MustRead(position, now-r.peer, s.MaxDelay(position)/2)
+					if reads && !r.reads {
+						r.confirmed.Reset()
+					}
+					r.reads = reads
 				}
 				if r.reads && now >= r.callEnds {
 					if now < r.silentUntil {
 						r.callEnds = now + callTimeout
 					} else {
-						r.own, r.callEnds = now, now+s.Poll
+						r.poll(s, now)
+						r.callEnds = now + s.Poll
 						relay(s, fleet, r, position, now, cut)
 					}
 				}
 				if (now+time.Duration(i)*step)%request == 0 { // asks another router, in turn
 					other := fleet[int(now/request)*5%len(fleet)]
 					if now >= other.frozenUntil && !cut(now, r.zone, other.zone) {
-						r.peer = max(r.peer, other.view())
+						r.learn(other)
 					}
 				}
 			}
@@ -148,9 +193,9 @@
 				if now < r.frozenUntil+bound && r.frozenUntil > 0 || now < bound {
 					continue
 				}
-				if readable := readableFor(fleet, r, now, cut); readable >= bound && now-r.view() > bound {
-					t.Fatalf("at %v: got: a view of %v at router %d of zone %d, want: at most %v, since a router that it reaches could read for %v",
-						now, now-r.view(), r.router, r.zone, bound, readable)
+				if readable := readableFor(fleet, r, now, cut); readable >= bound && now-min(r.view(), r.complete) > bound {
+					t.Fatalf("at %v: got: a view of %v, complete as of %v, at router %d of zone %d, want: at most %v, since a router that it reaches could read for %v",
+						now, now-r.view(), now-r.complete, r.router, r.zone, bound, readable)
 				}
 			}
 		}
@@ -160,7 +205,7 @@
 // relay passes the view of a router to its zone and to the first readers of other zones,
 // which pass it on.
 func relay(s reading.Schedule, fleet []*simulated, from *simulated, position reading.Position, now time.Duration, cut func(time.Duration, int, int) bool) {
-	if !s.MustRelay(position, amaranthtide.Some(now-from.peer)) {
+	if !s.MustRelay(position, amaranthtide.Some(now-from.peer), amaranthtide.Some(now-from.own)) {
 		return
 	}
 	for _, r := range fleet {
@@ -168,11 +213,11 @@
 			if r.zone != from.zone {
 				for _, mate := range fleet {
 					if mate.zone == r.zone && now >= mate.frozenUntil {
-						mate.peer = max(mate.peer, from.view())
+						mate.learn(from)
 					}
 				}
 			}
-			r.peer = max(r.peer, from.view())
+			r.learn(from)
 		}
 	}
 }
@@ -181,7 +226,7 @@
 func readableFor(fleet []*simulated, r *simulated, now time.Duration, cut func(time.Duration, int, int) bool) time.Duration {
 	longest := time.Duration(0)
 	for _, other := range fleet {
-		if !cut(now, other.zone, r.zone) && other.readableSince >= 0 && now >= other.silentUntil && now >= other.frozenUntil {
+		if !cut(now, other.zone, r.zone) && other.readableSince >= 0 && now >= max(other.silentUntil, other.refusedUntil) && now >= other.frozenUntil {
 			longest = max(longest, now-other.readableSince)
 		}
 	}
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -27,19 +27,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	version := f.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{})
-	if !version.Before(newest) {
-		delete(f.lags, table)
+	if age, behind := f.reported.Behind(now, table, version, newest); !behind || age < maxLag {
 		return false
 	}
-	lagging, ok := f.lags[table]
-	if !ok || lagging.version != version {
-		f.lags[table] = lag{now, version}
-		return false
-	}
-	if now.Sub(lagging.since) < maxLag {
-		return false
-	}
-	delete(f.lags, table)
+	f.reported.Forget(table)
 	if cancel, ok := f.cancelCalls[table]; ok {
 		cancel()
 	}
@@ -75,10 +66,11 @@
 }
 
 // recordSuccess records a call that confirmed the table as of the given time, and named the newest
-// version of the store.
-func (f *Follower) recordSuccess(now time.Time, table amaranthtide.FeedTable, confirmedAt time.Time, newest amaranthtide.StoreVersion) {
+// version of the store. It reports whether it was the last table that the own view lacked.
+func (f *Follower) recordSuccess(now time.Time, table amaranthtide.FeedTable, confirmedAt time.Time, newest amaranthtide.StoreVersion) (completes bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.ownView()
 	f.own.Answered(table, confirmedAt)
 	if failed, ok := f.failures[table]; ok {
 		delete(f.failures, table)
@@ -86,11 +78,28 @@
 	}
 	if table == f.opts.PolledTable {
 		f.confirmOthers(now, confirmedAt, newest)
-		f.ownView = confirmedAt
 		f.updateListReadability(now)
 		close(f.readable)
 		f.readable = make(chan struct{})
 	}
+	return table != f.opts.PolledTable && f.ownView().After(before)
+}
+
+// ownView returns the time as of which this router's own calls have confirmed its copies of all tables; zero
+// if they never have. The caller holds mu.
+func (f *Follower) ownView() time.Time { return f.own.At(f.opts.Tables...) }
+
+// relay relays what a call for a table has shown: its changes, and that this router reads the polled table,
+// or, once an answer for another table completes its view, all of them.
+func (f *Follower) relay(now time.Time, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], changed, completesView bool) {
+	if !f.mustRelay(now) {
+		return
+	}
+	if changed || table == f.opts.PolledTable {
+		f.opts.Relay(table, after)
+	} else if completesView {
+		f.opts.Relay(f.opts.PolledTable, f.opts.Rows.Version(f.opts.PolledTable))
+	}
 }
 
 // confirmOthers records what an answer for the polled table, which names the newest version of the
@@ -157,7 +166,7 @@
 	for f.ctx.Err() == nil {
 		f.mu.Lock()
 		_, failing := f.failures[f.opts.PolledTable]
-		ready, next := f.reads && !failing && !f.starting && !f.ownView.IsZero(), f.readable
+		ready, next := f.reads && !failing && !f.starting && !f.own.At(f.opts.PolledTable).IsZero(), f.readable
 		f.mu.Unlock()
 		if ready {
 			return true
--- a/transport/follow/check.go
+++ b/transport/follow/check.go
@@ -25,23 +25,17 @@
 func (f *Follower) mustCheck(now time.Time, table amaranthtide.FeedTable, version, newest amaranthtide.StoreVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !version.Before(newest) {
-		delete(f.unconfirmed, table)
+	age, behind := f.unchecked.Behind(now, table, version, newest)
+	_, failing := f.failures[table] // its calls are repeated
+	if !behind || failing || f.checking.Has(table) {
 		return false
 	}
-	unconfirmed, ok := f.unconfirmed[table]
-	if version.Era() < newest.Era() && !f.checking.Has(table) {
-		f.checking.Add(table) // its waiting call was made in another history
-		return true
-	}
-	if !ok || unconfirmed.version != version {
-		f.unconfirmed[table] = lag{now, version}
-		return false
-	}
-	if now.Sub(unconfirmed.since) < f.opts.Schedule.Poll || f.checking.Has(table) {
+	// The waiting call may have been made in another history, or by a router that hasn't read since.
+	unknown := version.Era() < newest.Era() || !f.own.HasAnswer(table)
+	if !unknown && age < f.opts.Schedule.Poll {
 		return false
 	}
-	f.unconfirmed[table] = lag{now, version}
+	f.unchecked.Restart(now, table, version)
 	f.checking.Add(table)
 	return true
 }
@@ -60,25 +54,26 @@
 	page, err := f.opts.Feed.Next(f.ctx, table, after, 0)
 	f.opts.Observe(table, err)
 	now := time.Now()
-	f.recordCheck(table, earliest(now, started.Add(maxAnswerDelay)), err)
+	completes := f.recordCheck(table, earliest(now, started.Add(maxAnswerDelay)), err)
 	if err != nil {
 		return
 	}
 	changed := f.Apply(now, table, page)
 	if len(changed) == 0 {
+		f.relay(now, table, after, false, completes)
 		return
 	}
 	f.opts.Logger.Warn("waiting call missed changes", "table", table, "version", after.Or(amaranthtide.StoreVersion{}).String(), "newest", page.Version.String())
 	f.cancelCall(table)
-	if f.mustRelay(now) {
-		f.opts.Relay(table, after)
-	}
+	f.relay(now, table, after, true, completes)
 }
 
-// recordCheck records the end of a check, whose answer confirms the table as of the given time.
-func (f *Follower) recordCheck(table amaranthtide.FeedTable, confirmedAt time.Time, err error) {
+// recordCheck records the end of a check, whose answer confirms the table as of the given time. It reports
+// whether it was the last table that the own view lacked.
+func (f *Follower) recordCheck(table amaranthtide.FeedTable, confirmedAt time.Time, err error) (completes bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.ownView()
 	switch {
 	case err == nil:
 		f.own.Answered(table, confirmedAt)
@@ -86,6 +81,7 @@
 		f.own.Failed(table)
 		f.opts.Logger.Warn("check of a table failed", "table", table, "error", err)
 	}
+	return f.ownView().After(before)
 }
 
 // cancelCall cancels a table's call in flight.
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -147,9 +147,8 @@
 	// peersStart tells that another router has no view either: this router doesn't wait for
 	// rows from others.
 	peersStart bool
-	// ownView and peerView are the times as of which the feed has confirmed this router's
-	// view: through its own calls, and through those of peerReader.
-	ownView    time.Time
+	// peerView is the time as of which the feed has confirmed this router's view through the
+	// calls of peerReader. That of its own calls is ownView.
 	peerView   time.Time
 	peerReader amaranthtide.VMName
 	// own records which copies this router's own calls have confirmed. unconfirmedTable is one that the
@@ -160,16 +159,16 @@
 	failures map[amaranthtide.FeedTable]failure
 	// cancelCalls holds the function that cancels a table's call in flight.
 	cancelCalls map[amaranthtide.FeedTable]context.CancelFunc
-	// lags holds the tables of which other routers know newer rows.
-	lags map[amaranthtide.FeedTable]lag
+	// reported holds the tables of which other routers know newer rows, by their reports.
+	reported reading.Lags
 	// kept holds the rows that were known before the store came back from an older copy and hold against
 	// those of the store. restoredAt is when this router learned of that, for each table.
 	kept       map[rowKey]restore.Verdict
 	restoredAt map[amaranthtide.FeedTable]time.Time
-	// unconfirmed holds the tables whose version is lower than that of the polled table.
+	// unchecked holds the tables whose version is lower than that of the polled table.
 	// checking holds those that are read for that reason.
-	unconfirmed map[amaranthtide.FeedTable]lag
-	checking    amaranthtide.Set[amaranthtide.FeedTable]
+	unchecked reading.Lags
+	checking  amaranthtide.Set[amaranthtide.FeedTable]
 	// readable is closed, and replaced, whenever the polled table becomes readable by calls
 	// of this router.
 	readable chan struct{}
@@ -185,12 +184,6 @@
 	calls int
 }
 
-// lag records since when a table has been at a version while a newer one is known.
-type lag struct {
-	since   time.Time
-	version amaranthtide.StoreVersion
-}
-
 type rowKey struct {
 	table amaranthtide.FeedTable
 	key   string
@@ -224,8 +217,6 @@
 		own:         reading.NewConfirmations(opts.Schedule),
 		failures:    make(map[amaranthtide.FeedTable]failure),
 		cancelCalls: make(map[amaranthtide.FeedTable]context.CancelFunc),
-		lags:        make(map[amaranthtide.FeedTable]lag),
-		unconfirmed: make(map[amaranthtide.FeedTable]lag),
 		checking:    amaranthtide.NewSet[amaranthtide.FeedTable](),
 		kept:        make(map[rowKey]restore.Verdict),
 		restoredAt:  make(map[amaranthtide.FeedTable]time.Time),
@@ -330,11 +321,9 @@
 		f.sleep(meanWait/2 + rand.N(meanWait))
 		return
 	}
-	f.recordSuccess(now, table, earliest(now, started.Add(wait+maxAnswerDelay)), page.Version)
+	completes := f.recordSuccess(now, table, earliest(now, started.Add(wait+maxAnswerDelay)), page.Version)
 	changed := f.Apply(now, table, page)
-	if (table == f.opts.PolledTable || len(changed) > 0) && f.mustRelay(now) {
-		f.opts.Relay(table, after)
-	}
+	f.relay(now, table, after, len(changed) > 0, completes)
 	if table == f.opts.PolledTable {
 		f.checkTables(now)
 	}
--- a/transport/follow/follower_test.go
+++ b/transport/follow/follower_test.go
@@ -38,11 +38,13 @@
 	// silent keeps changes from ending the calls that wait for the operators' table: these
 	// return at the end of their wait.
 	silent bool
-	calls  map[amaranthtide.FeedTable]int
+	// refused holds the tables whose calls fail.
+	refused amaranthtide.Set[amaranthtide.FeedTable]
+	calls   map[amaranthtide.FeedTable]int
 }
 
 func newSource() *source {
-	return &source{pages: make(map[amaranthtide.FeedTable]amaranthtide.FeedPage), calls: make(map[amaranthtide.FeedTable]int)}
+	return &source{pages: make(map[amaranthtide.FeedTable]amaranthtide.FeedPage), calls: make(map[amaranthtide.FeedTable]int), refused: amaranthtide.NewSet[amaranthtide.FeedTable]()}
 }
 
 func (s *source) Next(ctx context.Context, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], wait time.Duration) (amaranthtide.FeedPage, error) {
@@ -50,7 +52,7 @@
 	s.calls[table]++
 	_, known := after.Get()
 	silent := s.silent && known && table == operatorTable && wait > 0
-	page, down, hanging := s.pages[table], s.down, s.hanging || s.hangAfterFirst && known && table == serversTable
+	page, down, hanging := s.pages[table], s.down || s.refused.Has(table), s.hanging || s.hangAfterFirst && known && table == serversTable
 	s.mu.Unlock()
 	if silent {
 		timer := time.NewTimer(wait)
@@ -97,6 +99,17 @@
 	s.down = down
 }
 
+// refuse sets whether calls for a table fail.
+func (s *source) refuse(table amaranthtide.FeedTable, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refused {
+		s.refused.Add(table)
+	} else {
+		s.refused.Remove(table)
+	}
+}
+
 func (s *source) setHanging(hanging bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -384,6 +397,23 @@
 	is.True(!f.Reading(time.Now()))
 }
 
+// Guards against a reader that confirms the views of others by its calls for the list, while those for the
+// operators' table fail.
+func TestReaderWithoutOneTableDoesNotConfirm(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	eventually(t, "a reader", func() bool { return f.Reading(time.Now()) })
+	f.source.refuse(operatorTable, true)
+	f.source.set(serversTable, ver(2), "e1", "e2") // the newest version of the store
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(f.servers.Len(), 2)
+	is.True(!f.Reading(time.Now()))
+	view, _ := f.View(time.Now()).Get()
+	is.True(view.Age > time.Second)
+	f.source.refuse(operatorTable, false)
+	eventually(t, "a reader of both tables", func() bool { return f.Reading(time.Now()) })
+}
+
 // Guards against a router that stops reading because others confirm to it the view that it
 // has relayed to them itself: with both readers of the first zone silent, the views of the
 // fleet were up to 3 s old.
--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -30,7 +30,7 @@
 	// Earlier failures no longer tell whether the feed can be read, and earlier polls don't tell
 	// what calls after the next takeover miss.
 	clear(f.failures)
-	clear(f.unconfirmed)
+	f.unchecked.Clear()
 	f.readDelay = 0
 	if maxDelay := f.opts.Schedule.MaxDelay(position); maxDelay > 0 {
 		f.readDelay = rand.N(maxDelay)
@@ -51,7 +51,7 @@
 	position := f.opts.Position(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.opts.Schedule.MustRelay(position, viewAge(now, f.peerView))
+	return f.opts.Schedule.MustRelay(position, viewAge(now, f.peerView), viewAge(now, f.ownView()))
 }
 
 // viewAge returns the age of a view, absent if it is the zero time.
@@ -73,17 +73,18 @@
 
 // ApplyFromPeer applies a page that a router with the given view has sent. The view doesn't
 // count if it stems from a call of this router itself, which others confirm back to it:
-// that doesn't show that another router can read the feed. A router without a view of its own takes the rows of a router that can't
-// read the feed only once its own calls have failed too: the feed may hold newer ones. It
-// returns the rows that changed.
+// that doesn't show that another router can read the feed. A router without a copy of the table takes the
+// rows of a router that can't read the feed only once its own calls have failed too: the feed may hold
+// newer ones. It returns the rows that changed.
 func (f *Follower) ApplyFromPeer(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, peerView amaranthtide.Option[amaranthtide.FeedView]) []amaranthtide.FeedRow {
 	_, known := f.opts.Rows.Version(table).Get()
 	f.mu.Lock()
 	_, failing := f.failures[f.opts.PolledTable]
+	_, failingHere := f.failures[table]
 	view, confirmed := peerView.Get()
 	current := confirmed && f.opts.Schedule.Current(view.Age)
 	f.peersStart = f.peersStart || !known && !confirmed
-	if !known && !failing && !current {
+	if !known && !failing && !failingHere && !current {
 		f.mu.Unlock()
 		return nil
 	}
@@ -120,12 +121,12 @@
 func (f *Follower) View(now time.Time) amaranthtide.Option[amaranthtide.FeedView] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	age, ok := viewAge(now, latest(f.ownView, f.peerView)).Get()
+	age, ok := viewAge(now, latest(f.ownView(), f.peerView)).Get()
 	if !ok {
 		return amaranthtide.None[amaranthtide.FeedView]()
 	}
 	reader := f.opts.VM
-	if f.peerView.After(f.ownView) {
+	if f.peerView.After(f.ownView()) {
 		reader = f.peerReader
 	}
 	return amaranthtide.Some(amaranthtide.FeedView{Age: age, Reader: reader, Era: f.opts.Rows.Version(f.opts.PolledTable).Or(amaranthtide.StoreVersion{}).Era()})
@@ -135,7 +136,7 @@
 func (f *Follower) Reading(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.reads && !f.opts.Schedule.Stale(now.Sub(f.ownView))
+	return f.reads && !f.opts.Schedule.Stale(now.Sub(f.ownView()))
 }
 
 // Stale reports whether this router should request rows from any router that may have
@@ -143,7 +144,7 @@
 func (f *Follower) Stale(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.opts.Schedule.Stale(now.Sub(latest(f.ownView, f.peerView)))
+	return f.opts.Schedule.Stale(now.Sub(latest(f.ownView(), f.peerView)))
 }
 
 // updateListReadability sets whether the server list can be read, by this router or by
@@ -151,7 +152,7 @@
 // because the routers that read the feed have lost power, doesn't show that the list can't be
 // read; failed calls of this router do. The caller holds mu.
 func (f *Follower) updateListReadability(now time.Time) {
-	view := latest(f.ownView, f.peerView)
+	view := latest(f.own.At(f.opts.PolledTable), f.peerView)
 	_, failing := f.failures[f.opts.PolledTable]
 	if failing {
 		view = f.peerView
--- a/transport/follow/start_test.go
+++ b/transport/follow/start_test.go
@@ -82,3 +82,17 @@
 		f.Close()
 	}
 }
+
+// Guards against a router that starts and never gets a configuration, because its calls for the operators'
+// table fail, while the list can be read and the peers can't read that table either.
+func TestStartWithoutOneTableTakesRowsOfStalePeer(t *testing.T) {
+	source := newSource()
+	source.set(serversTable, ver(9), "e1")
+	source.refuse(operatorTable, true)
+	f := startFixture(t, source)
+	old := amaranthtide.FeedPage{Whole: true, Version: ver(3), Rows: []amaranthtide.FeedRow{{Table: operatorTable, Key: "config", Version: ver(3), Value: []byte("{}")}}}
+	eventually(t, "the rows of the peer", func() bool {
+		f.ApplyFromPeer(time.Now(), operatorTable, old, amaranthtide.Some(amaranthtide.FeedView{Age: time.Minute, Reader: "vm-2"}))
+		return f.rows.Version(operatorTable).Or(ver(0)) == ver(3)
+	})
+}
--- a/transport/peers/fleet_test.go
+++ b/transport/peers/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,7 +33,13 @@
 	nodes        map[netip.AddrPort]*node
 	disconnected amaranthtide.Set[amaranthtide.VMName]
 	// silent holds the routers whose calls the feed doesn't answer.
-	silent         amaranthtide.Set[amaranthtide.VMName]
+	silent amaranthtide.Set[amaranthtide.VMName]
+	// refused holds the routers whose calls for the operators' table fail.
+	refused amaranthtide.Set[amaranthtide.VMName]
+	// operatorRow is the only row of the operators' table, without a value if there is none.
+	operatorRow amaranthtide.FeedRow
+	// lose reports whether a message to a router is lost; nil loses none.
+	lose           func(to amaranthtide.VMName, topic string, payload []byte) bool
 	registry       map[amaranthtide.VMName]amaranthtide.FeedRow
 	entries        map[string]amaranthtide.RouterEntry
 	version        amaranthtide.StoreVersion
@@ -70,7 +77,7 @@
 
 func newFleet() *fleet {
 	return &fleet{
-		nodes: make(map[netip.AddrPort]*node), disconnected: amaranthtide.NewSet[amaranthtide.VMName](), silent: amaranthtide.NewSet[amaranthtide.VMName](),
+		nodes: make(map[netip.AddrPort]*node), disconnected: amaranthtide.NewSet[amaranthtide.VMName](), silent: amaranthtide.NewSet[amaranthtide.VMName](), refused: amaranthtide.NewSet[amaranthtide.VMName](),
 		registry: make(map[amaranthtide.VMName]amaranthtide.FeedRow), entries: make(map[string]amaranthtide.RouterEntry),
 		bytes: make(map[amaranthtide.VMName]int), feedCalls: make(map[amaranthtide.FeedTable]int),
 	}
@@ -95,6 +102,9 @@
 			if to == nil || f.disconnected.Has(n.entry.VM) || f.disconnected.Has(to.entry.VM) || to.topics[topic] == nil {
 				continue
 			}
+			if f.lose != nil && f.lose(to.entry.VM, topic, msg.Payload) {
+				continue
+			}
 			sent := watermill.NewMessage("1", msg.Payload)
 			sent.Metadata.Set(mesh.MetadataSender, n.entry.Address.String())
 			to.topics[topic] <- sent
@@ -122,7 +132,7 @@
 			return amaranthtide.FeedPage{}, ctx.Err()
 		}
 		f.mu.Lock()
-		page, down, silent := f.page(table), f.feedDown, f.silent.Has(n.entry.VM)
+		page, down, silent := f.page(table), f.feedDown || table == operatorTable && f.refused.Has(n.entry.VM), f.silent.Has(n.entry.VM)
 		f.mu.Unlock()
 		if silent {
 			if time.Now().After(deadline.Add(callTimeout)) {
@@ -134,7 +144,8 @@
 			return amaranthtide.FeedPage{}, amaranthtide.Errorf(amaranthtide.KindPlatformDown, "feed is unavailable")
 		}
 		from, known := after.Get()
-		if !known || from.Era() != page.Version.Era() || page.Version.After(from) && len(page.Rows) > 0 {
+		changed := slices.ContainsFunc(page.Rows, func(row amaranthtide.FeedRow) bool { return row.Version.After(from) })
+		if !known || changed || from.Era() != page.Version.Era() {
 			return page, nil
 		}
 		if !time.Now().Before(deadline) {
@@ -146,6 +157,9 @@
 // page returns a whole table. The caller holds mu.
 func (f *fleet) page(table amaranthtide.FeedTable) amaranthtide.FeedPage {
 	page := amaranthtide.FeedPage{Whole: true, Version: amaranthtide.NewStoreVersion(f.version.Era(), max(1, f.version.Number()))}
+	if table == operatorTable && f.operatorRow.Value != nil {
+		page.Rows = append(page.Rows, f.operatorRow)
+	}
 	if table != registryTable {
 		return page
 	}
@@ -275,6 +289,26 @@
 	clear(f.feedCalls)
 }
 
+// changeOperatorRow writes the operators' row and returns its version.
+func (f *fleet) changeOperatorRow() amaranthtide.StoreVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = amaranthtide.NewStoreVersion(f.version.Era(), f.version.Number()+1)
+	f.operatorRow = amaranthtide.FeedRow{Key: "config", Version: f.version, Table: operatorTable, Value: []byte("{}")}
+	return f.version
+}
+
+// setRefused sets whether a router's calls for the operators' table fail.
+func (f *fleet) setRefused(vm amaranthtide.VMName, refused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if refused {
+		f.refused.Add(vm)
+	} else {
+		f.refused.Remove(vm)
+	}
+}
+
 func (f *fleet) limitMessages(limit int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
