transport/peers: a view doesn't count for a router that its rows never reach

Cause: a router took a reader's view for its own while the message named a newer version of the operators' table than it had. Only rows of the polled table were looked at.

Change: the view doesn't count once the router has lacked named rows of any table for 1.5 polls without progress, or has a copy of an earlier era. It then asks other routers, and reads itself.

--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -159,8 +159,9 @@
 	failures map[amaranthtide.FeedTable]failure
 	// cancelCalls holds the function that cancels a table's call in flight.
 	cancelCalls map[amaranthtide.FeedTable]context.CancelFunc
-	// reported holds the tables of which other routers know newer rows, by their reports.
-	reported reading.Lags
+	// reported and missed hold the tables of which other routers know newer rows, by their reports and
+	// by their views.
+	reported, missed reading.Lags
 	// kept holds the rows that were known before the store came back from an older copy and hold against
 	// those of the store. restoredAt is when this router learned of that, for each table.
 	kept       map[rowKey]restore.Verdict
--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -99,6 +99,16 @@
 	return f.Apply(now, table, page)
 }
 
+// Lacks reports whether this router has lacked rows of a table for too long, of which another router has the
+// newest one, to take that router's view for its own.
+func (f *Follower) Lacks(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.StoreVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version, known := f.opts.Rows.Version(table).Get()
+	age, behind := f.missed.Behind(now, table, version, newest)
+	return behind && (known && version.Era() < newest.Era() || age > f.opts.Schedule.Patience())
+}
+
 // eraWith returns the era of the polled table once a page of a table is applied. A view of another era
 // confirms another history.
 func (f *Follower) eraWith(table amaranthtide.FeedTable, page amaranthtide.FeedPage) amaranthtide.StoreEra {
--- a/transport/peers/confirmation_test.go
+++ b/transport/peers/confirmation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/protocol/message"
 )
 
 // awaitOperatorRow waits until all routers have the operators' row of a version.
@@ -99,3 +100,22 @@
 		awaitOperatorRow(t, zones, f.changeOperatorRow(), 2*bound)
 	})
 }
+
+// Guards against a router that takes the view of a reader for its own while the rows that the view is of
+// never reach it.
+func TestViewOfLostRowsDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		zones := startZones(t, f, "abc", 6)
+		defer closeAll(zones)
+		time.Sleep(40 * time.Second)
+		last := zones["c"][5].entry.VM
+		f.mu.Lock()
+		f.lose = func(to amaranthtide.VMName, topic string, payload []byte) bool {
+			var rows message.Rows
+			return to == last && topic == message.TopicRows && message.Decode(payload, &rows) == nil && rows.Table == string(operatorTable)
+		}
+		f.mu.Unlock()
+		awaitOperatorRow(t, zones, f.changeOperatorRow(), 2*bound) // the bound begins anew once the rows are known to be lost
+	})
+}
--- a/transport/peers/exchange.go
+++ b/transport/peers/exchange.go
@@ -86,6 +86,9 @@
 	View(now time.Time) amaranthtide.Option[amaranthtide.FeedView]
 	// Behind reports whether this router should have received a row of that version by now.
 	Behind(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.StoreVersion) bool
+	// Lacks reports whether this router has lacked rows of a table for too long, of which another
+	// router has the newest one, to take that router's view for its own.
+	Lacks(now time.Time, table amaranthtide.FeedTable, newest amaranthtide.StoreVersion) bool
 	// Reading reports whether this router reads the feed and the feed answers.
 	Reading(now time.Time) bool
 	// Stale reports whether rows should be requested from any router that may have them.
--- a/transport/peers/exchange_test.go
+++ b/transport/peers/exchange_test.go
@@ -112,6 +112,9 @@
 func (*follower) Behind(time.Time, amaranthtide.FeedTable, amaranthtide.StoreVersion) bool {
 	return false
 }
+func (*follower) Lacks(time.Time, amaranthtide.FeedTable, amaranthtide.StoreVersion) bool {
+	return false
+}
 func (f *follower) Reading(time.Time) bool { return f.reading.Load() }
 func (*follower) Stale(time.Time) bool     { return false }
 
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -136,10 +136,11 @@
 
 // applyRows applies the page of a message and the view that it confirms, and reports whether
 // any row changed. A view doesn't count for a router that lacks polled rows of it, which are
-// requested: it would take a list for current in which a server is missing or has left.
+// requested: it would take a list for current in which a server is missing or has left. Nor does
+// it for one that has lacked rows of another table for long, whose requests are lost.
 func (e *Exchange) applyRows(now time.Time, m *message.Rows, table amaranthtide.FeedTable, page amaranthtide.FeedPage) (changed bool) {
 	view := m.View()
-	if _, confirmed := view.Get(); confirmed && e.lacksPolledRows(m, table, page) {
+	if _, confirmed := view.Get(); confirmed && (e.lacksPolledRows(m, table, page) || e.lacksOtherRows(now, m)) {
 		if page.Version.IsZero() {
 			return false
 		}
@@ -161,6 +162,17 @@
 	})
 }
 
+// lacksOtherRows reports whether this router has lacked rows for long that the message names, of a table that
+// isn't polled. Rows of the message itself count as missing until the next one.
+func (e *Exchange) lacksOtherRows(now time.Time, m *message.Rows) (lacks bool) {
+	for _, newest := range m.Newest {
+		if table, version := newest.ToDomain(); table != e.opts.PolledTable && e.opts.Follower.Lacks(now, table, version) {
+			lacks = true
+		}
+	}
+	return lacks
+}
+
 // relayFromOtherZone forwards the changes of a message from another zone if this router is
 // the first reader of its zone. Messages that neither changed anything nor confirm a newer
 // view are not forwarded, which also keeps them from circulating.
