transport/direct: an answer goes on only at servers of the version that began it

Cause: without a rollout in the settings, the next attempt of a stream that goes on chose among all servers of the service.

Change: the version of the server that wrote the first event binds the request; a version that isn't known matches none, unless no server of the service states one. The mean that limits the load of an engine is that of the whole service, as it is with rollouts.

--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -37,6 +37,8 @@
 	begunAt time.Time
 	// onBegun is called with the first bytes of the body of the current attempt.
 	onBegun func()
+	// onEvent is called before an event of the current attempt is passed on.
+	onEvent func()
 	// sound is set once the current attempt has shown that the request doesn't crash its
 	// server, which onSound reports.
 	sound   bool
@@ -160,6 +162,7 @@
 		complete = slices.Concat(a.partialEvent, complete)
 	}
 	a.partialEvent = append(a.partialEvent[:0], b[end:]...)
+	a.onEvent()
 	a.stalls.block()
 	if err := a.w.Chunk(complete); err != nil {
 		return err
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -67,6 +67,8 @@
 	// attemptSentAt is when the current attempt was sent.
 	attemptSentAt time.Time
 	selection     selection
+	// began is the version that began the stream, absent for a stream without an event.
+	began amaranthtide.Option[amaranthtide.VersionName]
 	// limitWaitBegan is when the request first waited for a server with a limit; zero if it has not.
 	limitWaitBegan time.Time
 	// heldBack is set once the request has waited or was rejected because of a limit, rejectedByLimit once
@@ -174,6 +176,7 @@
 	}
 	r.answer.begunAt, r.answer.sound = time.Time{}, false
 	r.attemptSentAt = time.Now()
+	r.answer.onEvent = func() { r.streamBegan(in) }
 	work := r.beginWork(in)
 	err := r.sendWithStartTimeout(ctx, in.Name, attempt)
 	work.end()
--- a/transport/direct/version.go
+++ b/transport/direct/version.go
@@ -52,12 +52,12 @@
 func (r *requestRun) allowed(now time.Time, repeated bool) []amaranthtide.Instance {
 	all := r.dispatcher.opts.Servers.ByService(r.req.Service)
 	if r.dispatcher.opts.Versions == nil {
-		return all
+		return r.ofStream(all)
 	}
 	if servers, ok := r.selectVersions(now, repeated); ok {
-		return servers
+		return r.ofStream(servers)
 	}
-	return all
+	return r.ofStream(all)
 }
 
 // selectVersions returns the servers that the request may use by their versions, and false if it may
@@ -91,7 +91,7 @@
 func (r *requestRun) meanLoad(now time.Time, servers []amaranthtide.Instance) (mean float64, n int) {
 	mean, n = r.dispatcher.meanLoad(now, servers)
 	all := r.dispatcher.opts.Servers.ByService(r.req.Service)
-	if r.dispatcher.opts.Versions == nil || len(all) == len(servers) {
+	if len(all) == len(servers) {
 		return mean, n
 	}
 	meanOfAll, _ := r.dispatcher.meanLoad(now, all)
