transport/continuation: a caller's take-up goes only to the version that began its stream

Cause: Resumes was read nowhere, a take-up went to any server of the service, and nothing that a router knew of a stream survived it.

Change: a router knows the version of a stream if it began it, if only one version has been listed for the longest life of a stream (20 s), or from the platform's store. There, each service has a base version, and only streams of other versions have a record, which is written before their first event is passed on: no record means the base version, after a kill of all routers too. While one version serves, nothing is written. A version that isn't known matches none: the take-up is refused as not run. So it is after a restore of the store whose copy may lack records, until the streams from before have ended; the routers write theirs again. A caller that names no stream is let on only if all listed servers are of the base version and no stream has a record.

--- a/coordination/continuation/history.go
+++ b/coordination/continuation/history.go
@@ -130,6 +130,14 @@
 	return b, len(s.listed) == 1
 }
 
+// ListsOnly reports whether all listed servers of a service are of its base version. If no stream has a record
+// either, callers can take up only streams of that version.
+func (h *History) ListsOnly(service amaranthtide.ServiceName, base amaranthtide.Option[amaranthtide.BaseVersion]) bool {
+	b, ok := base.Get()
+	s := h.services[service]
+	return ok && s != nil && len(s.listed) == 1 && s.listed.Has(b.Version)
+}
+
 // Lists reports whether a server of the version is listed.
 func (h *History) Lists(service amaranthtide.ServiceName, v amaranthtide.VersionName) bool {
 	s := h.services[service]
--- a/request.go
+++ b/request.go
@@ -27,6 +27,11 @@
 	AtMostOnce bool
 	// Resumable marks a stream that another server may continue.
 	Resumable bool
+	// ResumesAfter is the identifier of the last event that the caller has received of a stream that it
+	// takes up again, empty for a new one. Resumes is the request that brought the first event of
+	// that stream, empty if the caller doesn't say.
+	ResumesAfter string
+	Resumes      RequestID
 	// Service is the service that the matching rule selected; empty if the request
 	// names a model or a route.
 	Service ServiceName
--- a/stream_record.go
+++ b/stream_record.go
@@ -36,6 +36,9 @@
 	RemoveStreams(ctx context.Context, streams []RequestID) error
 	// FindStream returns the record of a stream, absent if there is none, and the era of the answer.
 	FindStream(ctx context.Context, stream RequestID) (Option[StreamRecord], StoreEra, error)
+	// HasStreams reports whether there is a record that expires after a time, and returns the era of the
+	// answer.
+	HasStreams(ctx context.Context, after time.Time) (bool, StoreEra, error)
 	// SweepStreams removes some records that expired before a time, and returns their number. Calls with
 	// successive rounds reach all records.
 	SweepStreams(ctx context.Context, round int, before time.Time) (int, error)
--- a/transport/direct/answer.go
+++ b/transport/direct/answer.go
@@ -38,7 +38,7 @@
 	// onBegun is called with the first bytes of the body of the current attempt.
 	onBegun func()
 	// onEvent is called before an event of the current attempt is passed on.
-	onEvent func()
+	onEvent func(now time.Time)
 	// sound is set once the current attempt has shown that the request doesn't crash its
 	// server, which onSound reports.
 	sound   bool
@@ -162,7 +162,7 @@
 		complete = slices.Concat(a.partialEvent, complete)
 	}
 	a.partialEvent = append(a.partialEvent[:0], b[end:]...)
-	a.onEvent()
+	a.onEvent(time.Now())
 	a.stalls.block()
 	if err := a.w.Chunk(complete); err != nil {
 		return err
--- a/transport/direct/dispatcher.go
+++ b/transport/direct/dispatcher.go
@@ -42,7 +42,7 @@
 // budget of the whole fleet.
 const assumedRouters = 256
 
-// Options are the dependencies and settings of a Dispatcher. All but Prober, Crashes, Versions, LoadShedding,
+// Options are the dependencies and settings of a Dispatcher. All but Prober, Crashes, Versions, Streams, LoadShedding,
 // Observe and Logger are required.
 type Options struct {
 	VM            amaranthtide.VMName
@@ -58,6 +58,8 @@
 	Crashes *crashes.Tracker
 	// Versions selects servers by their version; nil if requests may use all of them.
 	Versions Versions
+	// Streams knows which version began a stream; nil lets every server go on with every stream.
+	Streams Streams
 	// Cap limits the load of an engine. SetCap replaces it.
 	Cap choice.Cap
 	// ServerBodyBytes limits the request bodies that all routers have in flight at one server; 0
@@ -147,6 +149,9 @@
 func (d *Dispatcher) Serve(ctx context.Context, req *amaranthtide.Request, w amaranthtide.AnswerWriter) error {
 	d.earnRetry(time.Now(), req.Service)
 	run := d.newRun(req, w)
+	if err := run.bindVersion(ctx, time.Now()); err != nil {
+		return err
+	}
 	if run.needsAdmission() {
 		return d.serveAdmitted(ctx, run)
 	}
--- a/transport/direct/run.go
+++ b/transport/direct/run.go
@@ -176,7 +176,7 @@
 	}
 	r.answer.begunAt, r.answer.sound = time.Time{}, false
 	r.attemptSentAt = time.Now()
-	r.answer.onEvent = func() { r.streamBegan(in) }
+	r.answer.onEvent = func(now time.Time) { r.streamBegan(ctx, now, in) }
 	work := r.beginWork(in)
 	err := r.sendWithStartTimeout(ctx, in.Name, attempt)
 	work.end()
--- a/transport/direct/stream_test.go
+++ b/transport/direct/stream_test.go
@@ -3,23 +3,56 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"amaranthtide"
 	"amaranthtide/transport/direct"
 )
 
+// fakeStreams is a direct.Streams that knows the streams in versions.
+type fakeStreams struct {
+	mu       sync.Mutex
+	versions map[amaranthtide.RequestID]amaranthtide.VersionName
+}
+
+func (f *fakeStreams) Began(_ context.Context, _ time.Time, req *amaranthtide.Request, in amaranthtide.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.versions[req.ID] = in.Version
+}
+
+func (f *fakeStreams) VersionOf(_ context.Context, _ time.Time, req *amaranthtide.Request) (amaranthtide.VersionName, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v, ok := f.versions[req.Resumes]
+	if !ok {
+		return "", amaranthtide.Errorf(amaranthtide.KindNoBackend, "unknown")
+	}
+	return v, nil
+}
+
 // newVersionedDispatcher returns a dispatcher with six engines, two of each of the versions v0, v1 and v2.
-func newVersionedDispatcher(c *fakeSender) *direct.Dispatcher {
-	d, dir := newDispatcherWith(c, func(*direct.Options) {})
+func newVersionedDispatcher(c *fakeSender) (*direct.Dispatcher, *fakeStreams) {
+	streams := &fakeStreams{versions: make(map[amaranthtide.RequestID]amaranthtide.VersionName)}
+	d, dir := newDispatcherWith(c, func(opts *direct.Options) { opts.Streams = streams })
 	listed := dir.ByService("llm")
 	for i := range listed {
 		listed[i].Version = amaranthtide.VersionName(fmt.Sprint("v", i%3))
 	}
 	dir.Set(listed)
 	d.SetRouters([]amaranthtide.VMName{"vm-1"})
-	return d
+	return d, streams
+}
+
+func versionOf(t *testing.T, d *direct.Dispatcher, streams *fakeStreams, id amaranthtide.RequestID) amaranthtide.VersionName {
+	t.Helper()
+	streams.mu.Lock()
+	defer streams.mu.Unlock()
+	return streams.versions[id]
 }
 
 func streamRequest(chat string) *amaranthtide.Request {
@@ -44,7 +77,7 @@
 func TestStreamGoesOnAtItsVersion(t *testing.T) {
 	for i := range 30 {
 		c := &fakeSender{answer: breakOff}
-		d := newVersionedDispatcher(c)
+		d, _ := newVersionedDispatcher(c)
 		req := streamRequest(fmt.Sprint("chat-", i))
 		req.MaxAttempts = 6
 		if err := d.Serve(context.Background(), req, &discard{}); err == nil {
@@ -58,3 +91,34 @@
 		}
 	}
 }
+
+// Guards against a take-up that goes to a server of another version, and against one whose version isn't known
+// and that runs nevertheless.
+func TestTakeUpGoesToItsVersion(t *testing.T) {
+	is := is.New(t)
+	c := &fakeSender{answerOnly: true, answer: func(ctx context.Context, a amaranthtide.Attempt, w amaranthtide.AnswerWriter) error {
+		_ = breakOff(ctx, a, w)
+		return nil
+	}}
+	d, streams := newVersionedDispatcher(c)
+	for i := range 30 {
+		v := amaranthtide.VersionName(fmt.Sprint("v", i%3))
+		streams.versions["first"] = v
+		req := streamRequest(fmt.Sprint("chat-", i))
+		req.ResumesAfter, req.Resumes = "7", "first"
+		is.NoErr(d.Serve(context.Background(), req, &discard{}))
+		server := c.sent[len(c.sent)-1].Server
+		is.Equal(fmt.Sprint("v", (server[len(server)-1]-'0')%3), string(v))
+		is.Equal(versionOf(t, d, streams, req.ID), amaranthtide.VersionName("")) // the stream keeps its first name
+	}
+	sent := c.count()
+	req := streamRequest("chat")
+	req.ResumesAfter, req.Resumes = "7", "other"
+	err := d.Serve(context.Background(), req, &discard{})
+	is.Equal(amaranthtide.KindOf(err).Reply().Ran, amaranthtide.RanNo)
+	streams.versions["gone"] = "v9"
+	req.Resumes = "gone"
+	err = d.Serve(context.Background(), req, &discard{})
+	is.Equal(amaranthtide.KindOf(err).Reply().Ran, amaranthtide.RanNo)
+	is.Equal(c.count(), sent)
+}
--- a/transport/follow/follower.go
+++ b/transport/follow/follower.go
@@ -82,7 +82,7 @@
 }
 
 // Options are the dependencies and settings of a Follower. All but Observe, OnServerGone,
-// OnRoutersChanged, Rollouts and Logger are required.
+// OnRoutersChanged, OnServersListed, Rollouts and Logger are required.
 type Options struct {
 	// VM is the name of this router.
 	VM      amaranthtide.VMName
@@ -111,6 +111,9 @@
 	// OnRoutersChanged is called with the routers whose registrations were added, changed or
 	// removed; may be nil.
 	OnRoutersChanged func(now time.Time, registered []amaranthtide.RouterEntry, removed []amaranthtide.VMName)
+	// OnServersListed is called with all listed servers after changes of the list, before requests may be
+	// sent to them; may be nil.
+	OnServersListed func(now time.Time, listed []amaranthtide.Instance)
 	// Rollouts receives the rows of rollouts; nil if the deployment has none.
 	Rollouts Rollouts
 	// OnRestored is called when the store has come back from an older copy of a table; may be nil.
@@ -201,6 +204,9 @@
 	if opts.OnRoutersChanged == nil {
 		opts.OnRoutersChanged = func(time.Time, []amaranthtide.RouterEntry, []amaranthtide.VMName) {}
 	}
+	if opts.OnServersListed == nil {
+		opts.OnServersListed = func(time.Time, []amaranthtide.Instance) {}
+	}
 	if opts.OnRestored == nil {
 		opts.OnRestored = func(amaranthtide.FeedTable) {}
 	}
--- a/transport/follow/row.go
+++ b/transport/follow/row.go
@@ -123,6 +123,7 @@
 	if f.opts.Rollouts != nil {
 		f.opts.Rollouts.ServersListed(now, listed)
 	}
+	f.opts.OnServersListed(now, listed)
 	f.opts.Servers.Set(listed)
 	for _, name := range removed {
 		f.opts.OnServerGone(name)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"amaranthtide/state/memory"
 	"amaranthtide/state/servers"
 	"amaranthtide/state/traffic"
+	"amaranthtide/transport/continuation"
 	"amaranthtide/transport/crashes"
 	"amaranthtide/transport/direct"
 	"amaranthtide/transport/follow"
@@ -78,6 +79,8 @@
 	rollouts *rollout.Runner
 	// quarantines is nil if the deployment doesn't store them.
 	quarantines *quarantine.Recorder
+	// streams is nil if every server may go on with every stream.
+	streams *continuation.Tracker
 
 	meter         *metrics.Meter
 	callerServer  *ingress.Server
@@ -133,20 +136,21 @@
 	g.newCrashes()
 	incarnation := amaranthtide.Incarnation(time.Now().UnixNano())
 	g.newRollouts(incarnation, feedTables, trafficCounter)
+	g.newStreams()
 	if err := g.registerShares(); err != nil {
 		return err
 	}
 	g.dispatcher = direct.New(direct.Options{
 		VM: opts.Entry.VM, Zone: opts.Entry.Zone, Configuration: g.configuration, Servers: g.servers, Traffic: trafficCounter,
 		AttemptSender: opts.NewAttemptSender(&serverObserver{Counter: trafficCounter, gateway: g}, g.memory), Prober: opts.ServerProber,
-		Crashes: g.crashes, Versions: g.versions(), Cap: opts.EngineLoadCap, ServerBodyBytes: opts.ServerBodyBytes, Retries: opts.RetryLimit,
+		Crashes: g.crashes, Versions: g.versions(), Streams: g.streamVersions(), Cap: opts.EngineLoadCap, ServerBodyBytes: opts.ServerBodyBytes, Retries: opts.RetryLimit,
 		LoadShedding: opts.LoadShedding, Observe: g.meter.RecordAttempt, Logger: logger.Named("dispatch"),
 	})
 	g.follower = follow.New(follow.Options{
 		VM: opts.Entry.VM, Feed: opts.Feed, Decoder: opts.Decoder, Tables: g.tables(), PolledTable: opts.PolledTable,
 		BatchedTables: []amaranthtide.FeedTable{opts.PolledTable, opts.RegistryTable}, Rows: feedTables, Configuration: g.configuration,
 		Servers: g.servers, Schedule: reading.NewSchedule(opts.ChangeBound), Position: g.position, Relay: g.relay,
-		Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), OnRoutersChanged: g.applyRegistry, Rollouts: g.rolloutRows(), AtStart: g.loadQuarantines(), OnRestored: g.storeRestored, Logger: logger.Named("follow"),
+		Observe: g.meter.RecordFeedCall, OnServerGone: g.onServerGone(trafficCounter), OnRoutersChanged: g.applyRegistry, OnServersListed: g.serversListed, Rollouts: g.rolloutRows(), AtStart: g.loadQuarantines(), OnRestored: g.storeRestored, Logger: logger.Named("follow"),
 	})
 	g.peers = peers.New(peers.Options{
 		Self: opts.Entry, Incarnation: incarnation, Seeds: opts.Seeds, Mesh: g.mesh,
@@ -160,6 +164,9 @@
 	if g.rollouts != nil {
 		g.rollouts.Start(g.peers, g.follower)
 	}
+	if g.streams != nil {
+		g.streams.Start()
+	}
 	g.follower.Start()
 	g.service = shutdown.New(g.dispatcher)
 	service := &observedService{Service: g.service, meter: g.meter, storeEra: g.storeEra, logger: logger.Named("request")}
@@ -292,6 +299,9 @@
 	if g.quarantines != nil {
 		g.quarantines.Close()
 	}
+	if g.streams != nil {
+		g.streams.Close()
+	}
 	_ = g.mesh.Close()
 	_ = g.meter.Close(context.Background()) // there is nothing to flush
 	g.opts.Logger.Info("router stopped")
--- a/transport/gateway/options.go
+++ b/transport/gateway/options.go
@@ -17,7 +17,7 @@
 )
 
 // Options configure a Gateway. All but Seeds, Rollouts, RolloutTable, RolloutRecorder,
-// QuarantineStore, MemoryBytes, MaxConnections, MetricsListen, DroppedLogLines, NewExplainHandler and
+// QuarantineStore, StreamStore, MemoryBytes, MaxConnections, MetricsListen, DroppedLogLines, NewExplainHandler and
 // Logger are required.
 type Options struct {
 	// Entry is the router's own entry in the registry, with the address at which other
@@ -61,6 +61,9 @@
 	// QuarantineStore keeps the quarantines, so that they survive a restart of all routers; nil turns
 	// that off.
 	QuarantineStore amaranthtide.QuarantineStore
+	// StreamStore keeps the versions of streams while a service has servers of several ones; nil lets every
+	// server go on with every stream.
+	StreamStore amaranthtide.StreamStore
 	// NewAttemptSender returns the client that sends requests to backend servers. The client
 	// passes the load that servers report about themselves to the observer, and counts the
 	// answers that it buffers against the memory.
--- a/transport/gateway/quarantines.go
+++ b/transport/gateway/quarantines.go
@@ -37,11 +37,14 @@
 	return g.quarantines.Load
 }
 
-// storeRestored makes the quarantines be written again that the store has lost.
+// storeRestored makes the quarantines and the records of streams be written again that the store has lost.
 func (g *Gateway) storeRestored(table amaranthtide.FeedTable) {
 	if g.quarantines != nil && table == g.opts.PolledTable {
 		g.quarantines.StoreRestored()
 	}
+	if g.streams != nil && table == g.opts.PolledTable {
+		g.streams.StoreRestored()
+	}
 }
 
 // setRouters passes the known routers to the components that depend on them.
