transport/direct: prompts are fetched from servers of the same version only

A server was told to fetch a cached prompt from one of another version, although what two versions write doesn't fit together. With rollouts, that was so already.

Evidence: TestPromptIsFetchedFromSameVersion fails before (a server of v0 fetches from one of v1).

--- a/transport/direct/stream_test.go
+++ b/transport/direct/stream_test.go
@@ -122,3 +122,29 @@
 	is.Equal(amaranthtide.KindOf(err).Reply().Ran, amaranthtide.RanNo)
 	is.Equal(c.count(), sent)
 }
+
+// Guards against a prompt that an engine fetches from one of another version.
+func TestPromptIsFetchedFromSameVersion(t *testing.T) {
+	c := &fakeSender{}
+	d, streams := newVersionedDispatcher(c)
+	fetched := 0
+	for i := range 60 {
+		req := streamRequest(fmt.Sprint("chat-", i))
+		req.PromptTokens, req.SharedTokens = 5000, 4000
+		streams.versions["first"] = amaranthtide.VersionName(fmt.Sprint("v", i%3))
+		req.ResumesAfter, req.Resumes = "7", "first" // keeps chats from their usual engines
+		_ = d.Serve(context.Background(), req, &discard{})
+	}
+	for _, a := range c.sent {
+		if !a.FetchFrom.IsValid() {
+			continue
+		}
+		fetched++
+		if to := int(a.Server[len(a.Server)-1] - '0'); int(a.FetchFrom.Port()-9000)%3 != to%3 {
+			t.Errorf("got: %s fetches from %s, want: from an engine of its version", a.Server, a.FetchFrom)
+		}
+	}
+	if fetched == 0 {
+		t.Error("got: no fetch, want: some")
+	}
+}
--- a/transport/direct/version.go
+++ b/transport/direct/version.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthtide"
+	"amaranthtide/coordination/continuation"
 	"amaranthtide/state/outcomes"
 )
 
@@ -98,14 +99,15 @@
 	return min(mean, meanOfAll), n
 }
 
-// promptSources returns the engines from which the given one may fetch a prompt.
+// promptSources returns the engines from which the given one may fetch a prompt: those of its version, since what
+// two versions write doesn't fit together.
 func (d *Dispatcher) promptSources(to amaranthtide.Instance) []amaranthtide.Instance {
 	if d.opts.Versions != nil {
 		if sources, ok := d.opts.Versions.PromptSources(to); ok {
 			return sources
 		}
 	}
-	return d.opts.Servers.ByService(to.Service)
+	return continuation.Servers(d.opts.Servers.ByService(to.Service), to.Version)
 }
 
 // withVersion adds the version of the server and the stage of its service to the fields of a log
