transport/follow: a restore ends for a late router as for the others

Cause: the time in which servers may write their entries again began when the router learned of the restore. What others know of that time was used only at a start.

Change: all pages from other routers say when their sender learned of the restore, and the earliest time counts, also for what is kept already.

--- a/transport/follow/reader.go
+++ b/transport/follow/reader.go
@@ -92,6 +92,9 @@
 		f.peerView, f.peerReader = confirmedAt, view.Reader
 		f.updateListReadability(now)
 	}
+	if table == f.opts.PolledTable && confirmed && view.Era == f.eraWith(table, page) && page.RestoreAge > 0 {
+		f.restoredEarlier(table, now.Add(-page.RestoreAge))
+	}
 	f.mu.Unlock()
 	if page.Version.IsZero() {
 		return nil
--- a/transport/follow/restore.go
+++ b/transport/follow/restore.go
@@ -10,12 +10,9 @@
 // applyRestored applies the first page of a table after the store has come back from an older copy, or a page
 // of a router that holds rows against such a copy. It returns the rows that changed. The caller holds mu.
 func (f *Follower) applyRestored(now time.Time, table amaranthtide.FeedTable, page amaranthtide.FeedPage, e *effects) []amaranthtide.FeedRow {
-	before, known := f.opts.Rows.Version(table).Get()
+	before := f.opts.Rows.Version(table).Or(amaranthtide.StoreVersion{})
 	changed := f.opts.Rows.Apply(table, page)
-	restoredAt := now
-	if !known {
-		restoredAt = now.Add(-page.RestoreAge)
-	}
+	restoredAt := now.Add(-page.RestoreAge) // 0 for a page of the feed
 	f.restoredAt[table] = restoredAt
 	held := f.opts.Rows.Held(table)
 	differs := amaranthtide.NewSet[string]()
@@ -129,6 +126,23 @@
 	return released
 }
 
+// restoredEarlier records that the store had come back with a table before this router learned of it, because
+// it was suspended or cut off. What it keeps for the time in which rows are written again ends as at the
+// other routers. The caller holds mu.
+func (f *Follower) restoredEarlier(table amaranthtide.FeedTable, at time.Time) {
+	learned, ok := f.restoredAt[table]
+	if !ok || !at.Before(learned) {
+		return
+	}
+	f.restoredAt[table] = at
+	for key, v := range f.kept {
+		if key.table == table && !v.Until.IsZero() {
+			v.Until = v.Until.Add(at.Sub(learned))
+			f.kept[key] = v
+		}
+	}
+}
+
 // RestoreAge returns the time since this router learned that the store has come back from an older copy of the
 // table; 0 if it hasn't.
 func (f *Follower) RestoreAge(now time.Time, table amaranthtide.FeedTable) time.Duration {
--- a/transport/follow/start_test.go
+++ b/transport/follow/start_test.go
@@ -96,3 +96,22 @@
 		return f.rows.Version(operatorTable).Or(ver(0)) == ver(3)
 	})
 }
+
+// Guards against a router that was suspended while the store came back from a copy, and that keeps a server that has
+// left since for as long as others did from the restore on.
+func TestLateRestoreEndsAsAtOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	inEra := func(n uint64) amaranthtide.StoreVersion { return amaranthtide.NewStoreVersion(1, n) }
+	f.source.set(operatorTable, inEra(1))
+	f.source.set(serversTable, inEra(2), "e2")
+	eventually(t, "the servers of the copy, and those that it lacks", func() bool { return f.servers.Len() == 2 })
+	view := amaranthtide.Some(amaranthtide.FeedView{Reader: "vm-2", Era: 1})
+	f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{RestoreAge: time.Second}, view)
+	time.Sleep(600 * time.Millisecond)
+	is.Equal(f.servers.Len(), 2) // they may still be written again
+	f.ApplyFromPeer(time.Now(), serversTable, amaranthtide.FeedPage{RestoreAge: 10 * time.Second}, view)
+	began := time.Now()
+	eventually(t, "the servers of the copy alone", func() bool { return f.servers.Len() == 1 })
+	is.True(time.Since(began) < 2*time.Second)
+}
--- a/transport/peers/rows.go
+++ b/transport/peers/rows.go
@@ -43,17 +43,18 @@
 	e.mu.Lock()
 	to := e.relayTargets(now)
 	e.mu.Unlock()
-	e.publish(message.TopicRows, e.newRows(table, after, e.opts.Follower.View(now)), to)
+	e.publish(message.TopicRows, e.newRows(now, table, after, e.opts.Follower.View(now)), to)
 }
 
 // newRows returns a message with all changes of a table after the given version, without
 // rows if that is absent or if not all changes since then are kept.
-func (e *Exchange) newRows(table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], view amaranthtide.Option[amaranthtide.FeedView]) *message.Rows {
+func (e *Exchange) newRows(now time.Time, table amaranthtide.FeedTable, after amaranthtide.Option[amaranthtide.StoreVersion], view amaranthtide.Option[amaranthtide.FeedView]) *message.Rows {
 	version, known := after.Get()
 	page, _ := e.opts.Rows.Since(table, version)
 	if !known || page.Whole {
 		page = amaranthtide.FeedPage{}
 	}
+	page.RestoreAge = e.opts.Follower.RestoreAge(now, table)
 	m := message.NewRows(table, version, page, view)
 	m.Newest = e.newestRows()
 	return m
@@ -199,5 +200,5 @@
 	to := e.relayTargets(now)
 	e.mu.Unlock()
 	after := amaranthtide.Some(m.AfterVersion())
-	e.publish(message.TopicRows, e.newRows(amaranthtide.FeedTable(m.Table), after, m.View()), to)
+	e.publish(message.TopicRows, e.newRows(now, amaranthtide.FeedTable(m.Table), after, m.View()), to)
 }
